--- /dev/null
+++ b/coordination/control/loop.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+)
+
+// Bounds and intervals of the loop.
+const (
+	MaxQueuedEvents = 4096                   // events waiting for the control goroutine
+	MaxBatch        = 256                    // events handled before work is handed out
+	TickInterval    = 20 * time.Millisecond  // between runs of due work
+	StatusInterval  = 250 * time.Millisecond // between load reports of a home
+)
+
+// ErrControlBusy tells that the event queue was full. The request has not run.
+var ErrControlBusy = errors.New("control queue is full")
+
+// Sender sends messages to other instances. Send must not block; it counts what it drops.
+type Sender interface {
+	Send(e *message.Envelope)
+}
+
+// release is a grant to give back.
+type release struct {
+	region state.RegionName
+	r      message.Release
+}
+
+// Loop runs a Core on one goroutine.
+type Loop struct {
+	core     *Core
+	clock    func() state.Instant
+	sender   Sender
+	queue    chan Event
+	wake     chan struct{}
+	snapshot atomic.Pointer[state.Snapshot]
+	Dropped  atomic.Uint64 // events refused because the queue was full
+
+	mu       sync.Mutex
+	releases []release
+}
+
+// NewLoop returns a loop that is not yet running. Its first snapshot knows only the instance itself.
+func NewLoop(core *Core, clock func() state.Instant, sender Sender) *Loop {
+	l := &Loop{
+		core: core, clock: clock, sender: sender,
+		queue: make(chan Event, MaxQueuedEvents),
+		wake:  make(chan struct{}, 1),
+	}
+	l.hand(core.Ready(clock()))
+	return l
+}
+
+// Snapshot returns the current view. It is immutable.
+func (l *Loop) Snapshot() *state.Snapshot { return l.snapshot.Load() }
+
+// Now reads the loop's clock.
+func (l *Loop) Now() state.Instant { return l.clock() }
+
+// Offer passes an event without waiting. It returns ErrControlBusy when the queue is full.
+func (l *Loop) Offer(ev Event) error {
+	select {
+	case l.queue <- ev:
+		return nil
+	default:
+		l.Dropped.Add(1)
+		return ErrControlBusy
+	}
+}
+
+// Release gives a grant back. It never fails: releases wait in a buffer that the control goroutine empties, bounded by
+// the number of grants in use.
+func (l *Loop) Release(region state.RegionName, r message.Release) {
+	l.mu.Lock()
+	l.releases = append(l.releases, release{region, r})
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run is the control goroutine. It returns when ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-l.queue:
+			l.core.Step(l.clock(), ev)
+			l.drain()
+		case <-l.wake:
+		case <-ticker.C:
+			l.core.Tick(l.clock())
+		}
+		l.takeReleases()
+		l.hand(l.core.Ready(l.clock()))
+	}
+}
+
+// drain handles queued events up to MaxBatch, so that their work is handed out together.
+func (l *Loop) drain() {
+	for i := 1; i < MaxBatch; i++ {
+		select {
+		case ev := <-l.queue:
+			l.core.Step(l.clock(), ev)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) takeReleases() {
+	l.mu.Lock()
+	list := l.releases
+	l.releases = nil
+	l.mu.Unlock()
+	for _, r := range list {
+		l.core.Release(r.region, r.r)
+	}
+}
+
+func (l *Loop) hand(r Ready) {
+	if r.Snapshot != nil {
+		l.snapshot.Store(r.Snapshot)
+	}
+	for _, e := range r.Messages {
+		l.sender.Send(e)
+	}
+}
--- /dev/null
+++ b/coordination/message/message.go
@@ -0,0 +1,274 @@
+// Package message defines the typed messages between entry instances. It knows no encoding: package wire turns them
+// into bytes. Every message may be lost, repeated or reordered without harm.
+package message
+
+import (
+	"time"
+
+	"azurebridge/state"
+)
+
+// Envelope carries one message from one instance to another.
+type Envelope struct {
+	From        state.InstanceName
+	Incarnation state.Incarnation // of the sender
+	To          state.InstanceName
+	Body        Body
+}
+
+// Body is one of the message types of this package.
+type Body interface{ body() }
+
+// GrantID identifies a grant request and the grant that answers it. It is unique within the holder's incarnation.
+type GrantID uint64
+
+// Epoch numbers the successive homes of a region. A higher epoch supersedes a lower one.
+type Epoch uint64
+
+// GrantRequest asks the home of a region for the right to run one request on a backend server of the region.
+type GrantRequest struct {
+	ID          GrantID
+	Region      state.RegionName // whose home is asked
+	Service     state.ServiceName
+	Customer    state.CustomerName
+	EntryRegion state.RegionName // where the caller's request entered
+	Shift       state.ShiftName  // set when the request runs here because of an operator's shift
+	Rate        int64            // bytes per second to reserve for the response body on the link Region to EntryRegion
+	Wait        time.Duration    // longest time to queue for a slot
+	Exclude     []state.BackendName
+}
+
+// GrantReply answers a GrantRequest.
+type GrantReply struct {
+	ID      GrantID
+	Region  state.RegionName
+	Epoch   Epoch
+	Backend state.BackendName // empty when refused
+	Refusal Refusal
+	After   time.Duration // hint when to ask again; set with a refusal
+}
+
+// Refusal says why a grant was refused. A refused request has not run.
+type Refusal string
+
+// The reasons for refusing a grant.
+const (
+	RefusedNone      Refusal = ""
+	RefusedNotHome   Refusal = "not_home"       // the asked instance is not the home of the region, or not yet ready
+	RefusedUnknown   Refusal = "unknown_target" // service or customer is not in the configuration
+	RefusedPlan      Refusal = "plan"           // the plan does not allow the service or region
+	RefusedCustomer  Refusal = "customer_limit"
+	RefusedRegion    Refusal = "region_limit"
+	RefusedLink      Refusal = "link_limit"
+	RefusedShift     Refusal = "shift_cap"
+	RefusedQueueFull Refusal = "queue_full"
+	RefusedTimeout   Refusal = "queue_timeout"
+	RefusedNoBackend Refusal = "no_backend" // no backend server of the service takes new requests
+	RefusedBusy      Refusal = "control_busy"
+	RefusedNoHome    Refusal = "no_home" // no home of the region answered
+)
+
+// Result says how a granted request ended, as far as the choice of backend server is concerned.
+type Result uint8
+
+// The results of a granted request.
+const (
+	ResultOK      Result = iota + 1
+	ResultShed           // the backend server refused it before running it
+	ResultFailed         // connection error, early end or 5xx answer
+	ResultTimeout        // no response header in time, or the connection went silent
+	ResultUnused         // the request was never sent
+)
+
+// Release gives one grant back.
+type Release struct {
+	ID      GrantID
+	Backend state.BackendName
+	Result  Result
+	Latency time.Duration // time to the response header
+}
+
+// GrantRelease gives grants back to the home of a region.
+type GrantRelease struct {
+	Region   state.RegionName
+	Epoch    Epoch
+	Releases []Release
+}
+
+// HeldGrant is a grant that an instance still uses.
+type HeldGrant struct {
+	ID       GrantID
+	Service  state.ServiceName
+	Customer state.CustomerName
+	Backend  state.BackendName
+	Entry    state.RegionName
+	Shift    state.ShiftName
+	Rate     int64
+}
+
+// HeldGrants renews the sender's grants in a region. The home extends the lease of the listed grants and, since the
+// list is complete, frees those of the sender that it gave before Seq and that are missing.
+type HeldGrants struct {
+	Region state.RegionName
+	Epoch  Epoch // of the home that the sender believes in
+	Seq    uint64
+	SentAt state.Instant // sender's clock, echoed in HeldGrantsReply
+	NextID GrantID       // grants with a lower ID that are not listed are no longer used
+	Grants []HeldGrant
+}
+
+// HeldGrantsReply confirms a HeldGrants. The sender may use its grants until SentAt plus the grant lease.
+type HeldGrantsReply struct {
+	Region state.RegionName
+	Epoch  Epoch
+	Seq    uint64
+	SentAt state.Instant
+}
+
+// VoteRequest asks a witness to promise the candidate to be the only home of the region for one lease.
+type VoteRequest struct {
+	Region state.RegionName
+	Epoch  Epoch
+	SentAt state.Instant // candidate's clock, echoed in VoteReply
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Region  state.RegionName
+	Epoch   Epoch // of the request
+	Granted bool
+	Promise Epoch              // highest epoch that the witness has promised
+	Holder  state.InstanceName // to whom it promised that epoch
+	SentAt  state.Instant
+}
+
+// Heartbeat tells that the sender is alive. Homes exchange heartbeats with homes, members with their home.
+type Heartbeat struct {
+	Seq      uint64
+	Instance state.Instance
+	Revision state.Revision // configuration in force at the sender
+	Homes    []HomeClaim    // who is home where, as the sender knows it
+}
+
+// HomeClaim says that an instance is home of a region for an epoch.
+type HomeClaim struct {
+	Region state.RegionName
+	Epoch  Epoch
+	Home   state.InstanceName
+}
+
+// HeartbeatReply answers a Heartbeat.
+type HeartbeatReply struct {
+	Seq       uint64
+	Revision  state.Revision
+	Homes     []HomeClaim
+	Instances []state.Instance // changes since the sender's last heartbeat, at most MaxInstancesPerReply
+}
+
+// RegionStatus reports the load of a region from its home.
+type RegionStatus struct {
+	Region     state.RegionName
+	Epoch      Epoch
+	Running    int
+	MaxRunning int
+	Services   []state.ServiceLoad
+}
+
+// ClaimKey is the hash of customer, service and idempotency key.
+type ClaimKey [16]byte
+
+// AttemptID identifies one attempt of an entry instance to carry a submission.
+type AttemptID [16]byte
+
+// ClaimRequest asks the writer of a claim shard to record that an attempt is about to be sent.
+type ClaimRequest struct {
+	Key         ClaimKey
+	Fingerprint uint64 // hash of method, path and body, to detect a key reused for another submission
+	Attempt     AttemptID
+}
+
+// ClaimStatus is the answer to a ClaimRequest.
+type ClaimStatus uint8
+
+// The answers to a claim.
+const (
+	ClaimGranted     ClaimStatus = iota + 1 // this attempt, and no other, may be sent
+	ClaimRan                                // an earlier attempt ran; Outcome holds its answer
+	ClaimPending                            // an earlier attempt may have run
+	ClaimMismatch                           // the key belongs to a submission with another fingerprint
+	ClaimUnavailable                        // the claim could not be kept; it is proved not to be in the log
+	ClaimUncertain                          // the claim may be in the log, so the key may stay pending; this attempt must not be sent
+)
+
+// ClaimReply answers a ClaimRequest.
+type ClaimReply struct {
+	Key     ClaimKey
+	Attempt AttemptID
+	Status  ClaimStatus
+	Outcome Outcome
+}
+
+// OutcomeKind says what happened to an attempt.
+type OutcomeKind uint8
+
+// The outcomes of an attempt.
+const (
+	OutcomeRan     OutcomeKind = iota + 1
+	OutcomeNotRun              // proved: releases the key
+	OutcomeUnknown             // sent, no proof either way
+)
+
+// Outcome is the recorded end of an attempt.
+type Outcome struct {
+	Kind       OutcomeKind
+	StatusCode int
+	Body       []byte // answer of the backend server, at most MaxOutcomeBody bytes
+	BodyType   string // its Content-Type
+}
+
+// OutcomeReport records how an attempt ended.
+type OutcomeReport struct {
+	Key     ClaimKey
+	Attempt AttemptID
+	Outcome Outcome
+}
+
+// ConfigOffer tells the highest revision that the sender has.
+type ConfigOffer struct {
+	Revision state.Revision
+}
+
+// ConfigPull asks for a configuration newer than Have.
+type ConfigPull struct {
+	Have state.Revision
+}
+
+// ConfigPush carries an accepted configuration in its canonical encoding.
+type ConfigPush struct {
+	Revision state.Revision
+	Data     []byte
+}
+
+// Bounds of messages.
+const (
+	MaxOutcomeBody       = 4 << 10 // bytes
+	MaxInstancesPerReply = 128     // instances
+	MaxHeldGrants        = 512     // grants in one HeldGrants
+)
+
+func (*GrantRequest) body()    {}
+func (*GrantReply) body()      {}
+func (*GrantRelease) body()    {}
+func (*HeldGrants) body()      {}
+func (*HeldGrantsReply) body() {}
+func (*VoteRequest) body()     {}
+func (*VoteReply) body()       {}
+func (*Heartbeat) body()       {}
+func (*HeartbeatReply) body()  {}
+func (*RegionStatus) body()    {}
+func (*ClaimRequest) body()    {}
+func (*ClaimReply) body()      {}
+func (*OutcomeReport) body()   {}
+func (*ConfigOffer) body()     {}
+func (*ConfigPull) body()      {}
+func (*ConfigPush) body()      {}
--- /dev/null
+++ b/coordination/steering/steering.go
@@ -0,0 +1,145 @@
+// Package steering holds the pure decisions of traffic goroutines: which regions a request may use, in which order, and
+// which entry instance a caller should use. They read a snapshot and allocate only what the caller does not provide.
+package steering
+
+import (
+	"time"
+
+	"azurebridge/coordination/admission"
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+)
+
+// MaxTargets bounds the regions that one request may ask.
+const MaxTargets = 8
+
+// Regions appends to dst the regions that may run a request of the customer, best first: the entry instance's own
+// region, then the others by the share of busy slots that their homes last reported. A plan that allows no region gives
+// RefusedPlan.
+func Regions(s *state.Snapshot, customer state.CustomerName, service state.ServiceName, dst []admission.Target) ([]admission.Target, message.Refusal) {
+	plan := s.Index.Customer[customer]
+	svc := s.Index.Service[service]
+	if plan == nil || svc == nil {
+		return dst, message.RefusedUnknown
+	}
+	if !offers(plan, service) {
+		return dst, message.RefusedPlan
+	}
+	own := s.Self.Region
+	ownDrained := s.Config.RegionDrained(own)
+	for _, r := range plan.Regions {
+		if s.Config.RegionDrained(r) {
+			continue
+		}
+		t := admission.Target{Region: r}
+		if r != own {
+			t.Rate = svc.BytesPerSecond
+			t.Shift = shiftFor(s.Config, own, r, ownDrained)
+		}
+		dst = insert(s, dst, t, service)
+	}
+	if len(dst) == 0 {
+		return dst, message.RefusedNoBackend
+	}
+	return dst, message.RefusedNone
+}
+
+func offers(p *state.Plan, service state.ServiceName) bool {
+	for i := range p.Services {
+		if p.Services[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// shiftFor names the operator's shift that covers traffic from a drained region to another one.
+func shiftFor(c *state.Config, from, to state.RegionName, drained bool) state.ShiftName {
+	if !drained {
+		return ""
+	}
+	for i := range c.Shifts {
+		if c.Shifts[i].From == from && c.Shifts[i].To == to {
+			return c.Shifts[i].Name
+		}
+	}
+	return ""
+}
+
+// insert keeps dst ordered: own region first, then by rising load.
+func insert(s *state.Snapshot, dst []admission.Target, t admission.Target, service state.ServiceName) []admission.Target {
+	if len(dst) == MaxTargets {
+		return dst
+	}
+	dst = append(dst, t)
+	for i := len(dst) - 1; i > 0 && rank(s, dst[i].Region, service) < rank(s, dst[i-1].Region, service); i-- {
+		dst[i], dst[i-1] = dst[i-1], dst[i]
+	}
+	return dst
+}
+
+// rank is lower for a better region.
+func rank(s *state.Snapshot, r state.RegionName, service state.ServiceName) float64 {
+	if r == s.Self.Region {
+		return -1
+	}
+	load, ok := s.Loads[r]
+	if !ok {
+		return 2 // not reported: behind every region that reported, but not excluded
+	}
+	for i := range load.Services {
+		if sl := &load.Services[i]; sl.Service == service && sl.Slots > 0 {
+			return float64(sl.Running+sl.Queued) / float64(sl.Slots)
+		}
+	}
+	return 3
+}
+
+// LookupTTL is how long callers may cache the answer to a look-up.
+const LookupTTL = 5 * time.Second
+
+// MaxEntries bounds the entry instances that one look-up names.
+const MaxEntries = 3
+
+// Entries appends to dst the indexes into s.Instances of the entry instances that a caller of the region should use,
+// best first. Instances of the caller's region come first; within a region callers spread by rendezvous hashing, so that
+// a change of the fleet moves only the callers of the instance that changed.
+func Entries(s *state.Snapshot, region state.RegionName, caller uint64, dst []int) []int {
+	var best [MaxEntries]uint64
+	n := 0
+	for i := range s.Instances {
+		in := &s.Instances[i]
+		if in.Status != state.InstanceLive {
+			continue
+		}
+		score := entryScore(in, region, caller)
+		at := n
+		for at > 0 && best[at-1] < score {
+			at--
+		}
+		if at >= MaxEntries {
+			continue
+		}
+		if n < MaxEntries {
+			n++
+			dst = append(dst, 0)
+		}
+		base := len(dst) - n
+		copy(best[at+1:n], best[at:n-1])
+		copy(dst[base+at+1:], dst[base+at:len(dst)-1])
+		best[at], dst[base+at] = score, i
+	}
+	return dst
+}
+
+// entryScore ranks an instance for a caller; the top bit prefers the caller's region.
+func entryScore(in *state.Instance, region state.RegionName, caller uint64) uint64 {
+	const multiplier = 0x9E3779B97F4A7C15 // 2^64 divided by the golden ratio, spreads consecutive hashes
+	h := (caller ^ in.Hash()) * multiplier
+	h ^= h >> 32
+	h = h * multiplier >> 1
+	if in.Region == region {
+		h |= 1 << 63
+	}
+	return h
+}
--- /dev/null
+++ b/internal/layercheck/layercheck.go
@@ -0,0 +1,94 @@
+// Package layercheck finds imports that run against the order of the layers.
+package layercheck
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Module is the path of this project's module.
+const Module = "azurebridge"
+
+// Order lists the layers from the lowest to the highest. A package may import packages of its own and of lower layers.
+var Order = []string{"state", "coordination", "protocol", "transport", "cmd"}
+
+// encoders are import paths that packages of the layers state and coordination must not use, so that decisions stay
+// apart from the encoding of messages and from I/O.
+var encoders = []string{"encoding/", "net/http", "net", "os", "github.com/fxamacker/cbor", "github.com/quic-go", "gopkg.in/ini"}
+
+// Check parses the Go files below root and returns one line for each import against the order. It fails on a file that
+// cannot be parsed.
+func Check(root string) ([]string, error) {
+	var bad []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		found, err := checkFile(path, filepath.ToSlash(rel))
+		bad = append(bad, found...)
+		return err
+	})
+	return bad, errors.Wrap(err, "check layers")
+}
+
+func checkFile(path, rel string) ([]string, error) {
+	layer := rank(rel)
+	if layer < 0 {
+		return nil, nil
+	}
+	f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	if err != nil {
+		return nil, err
+	}
+	var bad []string
+	for _, spec := range f.Imports {
+		name, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			return nil, err
+		}
+		if within, ok := strings.CutPrefix(name, Module+"/"); ok && rank(within+"/") > layer {
+			bad = append(bad, rel+" imports the higher layer "+within)
+		}
+		if Order[layer] == "state" || Order[layer] == "coordination" {
+			bad = append(bad, checkPure(rel, name)...)
+		}
+	}
+	return bad, nil
+}
+
+// checkPure refuses encoders and I/O in decision code. Tests may use them.
+func checkPure(rel, name string) []string {
+	if strings.HasSuffix(rel, "_test.go") {
+		return nil
+	}
+	for _, e := range encoders {
+		if name == e || (strings.HasSuffix(e, "/") && strings.HasPrefix(name, e)) || strings.HasPrefix(name, e+"/") && e != "net" {
+			if name == "encoding/binary" {
+				return nil // byte order of in-memory tables, not a message encoding
+			}
+			return []string{rel + " uses " + name}
+		}
+	}
+	return nil
+}
+
+// rank returns the place of a path in Order, or -1 when it belongs to no layer.
+func rank(path string) int {
+	top, _, _ := strings.Cut(path, "/")
+	for i, name := range Order {
+		if name == top {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/layercheck/layercheck_test.go
@@ -0,0 +1,33 @@
+package layercheck
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against an import against the layer order anywhere in the project.
+func TestProjectKeepsLayerOrder(t *testing.T) {
+	bad, err := Check("../..")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bad).To(BeEmpty())
+}
+
+// Guards against a check that accepts everything.
+func TestCheckReportsUpwardImportAndEncoder(t *testing.T) {
+	g := NewWithT(t)
+	root := t.TempDir()
+	dir := filepath.Join(root, "state")
+	g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
+	src := "package state\n\nimport (\n\t_ \"azurebridge/transport/edge\"\n\t_ \"encoding/json\"\n)\n"
+	g.Expect(os.WriteFile(filepath.Join(dir, "a.go"), []byte(src), 0o644)).To(Succeed())
+	bad, err := Check(root)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bad).To(ConsistOf(
+		"state/a.go imports the higher layer transport/edge",
+		"state/a.go uses encoding/json",
+	))
+}
