--- /dev/null
+++ b/protocol/callers/callers.go
@@ -0,0 +1,118 @@
+// Package callers defines the HTTP conventions of the callers' interface: header names, outcome words and problem
+// details (RFC 9457).
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Header names.
+const (
+	HeaderCustomer       = "Azb-Customer"
+	HeaderOutcome        = "Azb-Outcome"
+	HeaderDeadline       = "Azb-Deadline-Ms" // time left for the request, in milliseconds
+	HeaderNotRun         = "Azb-Not-Run"     // set by a backend server that refused a request before running it
+	HeaderInternalPrefix = "Azb-Internal-"   // reserved; refused from callers
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderReplayed       = "Azb-Replayed" // the answer was recorded when an earlier attempt with the same key ran
+)
+
+// PathPrefix is the path below which the system itself answers.
+const PathPrefix = "/.azb/"
+
+// PathLookup answers which entry instances a caller should use.
+const PathLookup = PathPrefix + "lookup"
+
+// MaxIdempotencyKey bounds an idempotency key, in characters.
+const MaxIdempotencyKey = 128
+
+// ProblemType is the media type of problem details.
+const ProblemType = "application/problem+json"
+
+// Outcome tells what happened to a submission.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeRan     Outcome = "ran"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Problem is a problem details object (RFC 9457).
+type Problem struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail,omitempty"`
+	Outcome Outcome `json:"outcome"`
+	Reason  string  `json:"reason"`
+	Step    string  `json:"step,omitempty"`
+	Peer    string  `json:"peer,omitempty"`
+}
+
+// typePrefix forms the type of a problem from its reason.
+const typePrefix = "urn:azurebridge:problem:"
+
+// WriteProblem answers a request with problem details.
+func WriteProblem(w http.ResponseWriter, p Problem, retryAfter time.Duration) {
+	p.Type = typePrefix + p.Reason
+	if p.Title == "" {
+		p.Title = http.StatusText(p.Status)
+	}
+	h := w.Header()
+	h.Set("Content-Type", ProblemType)
+	h.Set(HeaderOutcome, string(p.Outcome))
+	h.Set("Cache-Control", "no-store")
+	if retryAfter > 0 {
+		seconds := int((retryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+}
+
+// LookupReply answers a look-up.
+type LookupReply struct {
+	Entries    []Entry `json:"entries"` // best first
+	TTLSeconds int     `json:"ttl_seconds"`
+}
+
+// Entry is an entry instance that a caller may use.
+type Entry struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Region  string `json:"region"`
+}
+
+// CheckIdempotencyKey returns an error unless the key has 1 to MaxIdempotencyKey visible ASCII characters.
+func CheckIdempotencyKey(key string) error {
+	if len(key) == 0 || len(key) > MaxIdempotencyKey {
+		return errors.Errorf("idempotency key has %d characters, 1 to %d are allowed", len(key), MaxIdempotencyKey)
+	}
+	for i := 0; i < len(key); i++ {
+		if key[i] < '!' || key[i] > '~' {
+			return errors.Errorf("idempotency key has byte %#x at %d, only visible ASCII is allowed", key[i], i)
+		}
+	}
+	return nil
+}
+
+// ParseDeadline reads the deadline header. It returns 0 when the header is absent.
+func ParseDeadline(h http.Header) (time.Duration, error) {
+	v := h.Get(HeaderDeadline)
+	if v == "" {
+		return 0, nil
+	}
+	const maxDeadline = 24 * 60 * 60 * 1000 // a day in milliseconds
+	ms, err := strconv.Atoi(v)
+	if err != nil || ms <= 0 || ms > maxDeadline {
+		return 0, errors.Errorf("%s is %q, want 1 to %d", HeaderDeadline, v, maxDeadline)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- /dev/null
+++ b/protocol/settings/entry.go
@@ -0,0 +1,96 @@
+// Package settings reads the INI settings of each program.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"azurebridge/protocol/inifile"
+	"azurebridge/state"
+)
+
+// Entry is the settings of azb-entry.
+type Entry struct {
+	Name      state.InstanceName
+	Fleet     string
+	Region    state.RegionName
+	Domain    state.DomainName
+	Callers   netip.AddrPort // callers' interface
+	Fleetwork netip.AddrPort // QUIC, other instances
+	Operators netip.AddrPort // operators' interface
+	Platform  netip.AddrPort // the platform's store and list of instances
+	TLS       TLS
+	MaxBody   int64
+	MaxHeader int
+	StopGrace time.Duration // longest wait for requests in flight at a planned stop; 0 means no limit
+	LogLevel  string
+	Trial     Trial
+}
+
+// TLS names the identity files of a process.
+type TLS struct {
+	Authority   string
+	Certificate string
+	Key         string
+}
+
+// Trial adds network delay for trials on one machine. It is off unless the section is there.
+type Trial struct {
+	Enabled     bool
+	RegionDelay time.Duration // one way, between regions
+	DomainDelay time.Duration // one way, between failure domains of a region
+}
+
+// Bounds of settings.
+const (
+	maxBodyLimit   = 1 << 30 // bytes
+	maxHeaderLimit = 1 << 20 // bytes
+	maxGrace       = 24 * time.Hour
+	maxTrialDelay  = time.Second
+)
+
+// LoadEntry reads the settings of azb-entry.
+func LoadEntry(path string) (*Entry, error) {
+	f, err := inifile.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{}
+	s := f.Section("instance")
+	e.Name = state.InstanceName(s.Required("name"))
+	e.Fleet = s.Required("fleet")
+	e.Region = state.RegionName(s.Required("region"))
+	e.Domain = state.DomainName(s.Required("domain"))
+	s = f.Section("listen")
+	e.Callers = s.HostPort("callers")
+	e.Fleetwork = s.HostPort("fleet")
+	e.Operators = s.HostPort("operators")
+	s = f.Section("platform")
+	e.Platform = s.HostPort("address")
+	e.TLS = readTLS(f)
+	s = f.Section("limits")
+	e.MaxBody = int64(s.Int("max_body_bytes", 64<<20, 0, maxBodyLimit))
+	e.MaxHeader = s.Int("max_header_bytes", 16<<10, 1<<10, maxHeaderLimit)
+	e.StopGrace = s.Duration("stop_grace", 0, 0, maxGrace)
+	e.LogLevel = readLog(f)
+	e.Trial = readTrial(f)
+	return e, f.Err()
+}
+
+func readTLS(f *inifile.File) TLS {
+	s := f.Section("tls")
+	return TLS{Authority: s.Required("authority"), Certificate: s.Required("certificate"), Key: s.Required("key")}
+}
+
+func readLog(f *inifile.File) string {
+	return f.Section("log").Choice("level", "info", "trace", "debug", "info", "warn", "error")
+}
+
+func readTrial(f *inifile.File) Trial {
+	s := f.Section("trial")
+	return Trial{
+		Enabled:     s.Present(),
+		RegionDelay: s.Duration("region_delay", 0, 0, maxTrialDelay),
+		DomainDelay: s.Duration("domain_delay", 0, 0, maxTrialDelay),
+	}
+}
--- /dev/null
+++ b/protocol/storeapi/storeapi.go
@@ -0,0 +1,73 @@
+// Package storeapi defines the JSON messages of the platform's key-value service ("the store") and of its list of
+// instances.
+package storeapi
+
+// Paths of the platform's HTTP interface.
+const (
+	PathGet       = "/v1/kv/get"
+	PathList      = "/v1/kv/list"
+	PathWatch     = "/v1/kv/watch"
+	PathCAS       = "/v1/kv/cas"
+	PathLease     = "/v1/lease"
+	PathInstances = "/v1/instances"
+)
+
+// MaxValue bounds one value, in bytes.
+const MaxValue = 1 << 20
+
+// Entry is a key with its value. Version counts the writes of the key; 0 means that the key does not exist.
+type Entry struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+	Lease   uint64 `json:"lease,omitempty"` // the key is deleted when this lease ends; 0 for none
+}
+
+// ListReply answers a list, ordered by key. More tells that the page ended before the last key.
+type ListReply struct {
+	Entries []Entry `json:"entries"`
+	More    bool    `json:"more"`
+}
+
+// CASRequest writes Value when the key's version is Version; 0 creates it only if absent. Delete removes the key.
+type CASRequest struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+	Lease   uint64 `json:"lease,omitempty"`
+	Delete  bool   `json:"delete,omitempty"`
+}
+
+// CASReply tells whether the write took effect, and the entry as it is now.
+type CASReply struct {
+	OK      bool  `json:"ok"`
+	Current Entry `json:"current"`
+}
+
+// LeaseRequest creates a lease (ID 0), or keeps or ends one.
+type LeaseRequest struct {
+	ID         uint64 `json:"id,omitempty"`
+	TTLSeconds int    `json:"ttl_seconds,omitempty"`
+	Revoke     bool   `json:"revoke,omitempty"`
+}
+
+// LeaseReply answers a LeaseRequest.
+type LeaseReply struct {
+	ID uint64 `json:"id"`
+	OK bool   `json:"ok"`
+}
+
+// Instance is one line of the platform's list of instances, which lags.
+type Instance struct {
+	Name          string `json:"name"`
+	Region        string `json:"region"`
+	Domain        string `json:"domain"`
+	CallerAddress string `json:"caller_address,omitempty"`
+	FleetAddress  string `json:"fleet_address,omitempty"`
+	Status        string `json:"status"` // "live" or "leaving"
+}
+
+// InstancesReply is the platform's list of instances. Register adds entry instances to it in the stand-in.
+type InstancesReply struct {
+	Instances []Instance `json:"instances"`
+}
