--- /dev/null
+++ b/cmd/azb-ctl/keys.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/transport/identity"
+)
+
+// defaultLifetime is how long certificates are valid.
+const defaultLifetime = 365 * 24 * time.Hour
+
+// keysCmd makes an authority when the folder has none, and a certificate for each name.
+type keysCmd struct {
+	Folder   string        `help:"Folder of the authority and the certificates." required:"" type:"path"`
+	Fleet    string        `help:"Name of the fleet." required:""`
+	Role     string        `help:"Role of the certificates." enum:"instance,operator" default:"instance"`
+	Lifetime time.Duration `help:"How long the certificates are valid." default:"8760h"`
+	Names    []string      `arg:"" help:"Names to make certificates for."`
+}
+
+// Run makes the files.
+func (k *keysCmd) Run() error {
+	if err := os.MkdirAll(k.Folder, 0o700); err != nil {
+		return errors.Wrap(err, "make key folder")
+	}
+	a, err := identity.OpenAuthority(k.Folder, k.Fleet)
+	if errors.Is(err, os.ErrNotExist) {
+		a, err = identity.CreateAuthority(k.Folder, k.Fleet, defaultLifetime)
+	}
+	if err != nil {
+		return err
+	}
+	for _, name := range k.Names {
+		if err := a.Issue(k.Folder, name, identity.Role(k.Role), k.Lifetime); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/azb-entry/main.go
@@ -0,0 +1,24 @@
+// Command azb-entry runs on each entry instance: it answers look-ups and carries callers' requests to backend servers.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// exitUsage is the exit code for wrong arguments or settings.
+const exitUsage = 2
+
+var cli struct {
+	Config string `help:"Settings file (INI)." required:"" type:"path"`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Entry instance of the azurebridge traffic steering system."))
+	if err := run(cli.Config, cli.Check); err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(exitUsage)
+	}
+}
--- /dev/null
+++ b/transport/backend/client.go
@@ -0,0 +1,156 @@
+// Package backend is the HTTP client towards backend servers. It tells apart what is proved not to have run from what
+// may have run.
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"azurebridge/protocol/callers"
+	"azurebridge/state"
+)
+
+// Bounds of backend connections.
+const (
+	// MaxIdleConn is how long an unused connection is kept. A connection that has gone silent without a sign therefore
+	// receives no new work after that time; a new connection costs about 1 ms.
+	MaxIdleConn = 500 * time.Millisecond
+	// UnackedTimeout ends a connection whose sent data the other host does not acknowledge.
+	UnackedTimeout = time.Second
+	// KeepAliveInterval is the time between TCP keep-alive probes on a connection without traffic.
+	KeepAliveInterval = 500 * time.Millisecond
+	DialTimeout       = 500 * time.Millisecond
+	MaxIdlePerServer  = 8        // connections
+	MaxResponseHeader = 64 << 10 // bytes
+	readBuffer        = 16 << 10 // bytes per connection
+)
+
+// Proof says what is known about a request that got no answer to pass on.
+type Proof uint8
+
+// What is known.
+const (
+	ProofAnswered Proof = iota // there is an answer
+	ProofNotSent               // no byte was sent
+	ProofRefused               // the backend server refused it before running it
+	ProofNone                  // it may have run
+)
+
+// Counters counts requests to backend servers.
+type Counters struct {
+	Requests atomic.Uint64
+	NotSent  atomic.Uint64
+	Refused  atomic.Uint64
+	NoProof  atomic.Uint64
+}
+
+// Client sends requests to backend servers. Its methods may be used by several goroutines.
+type Client struct {
+	pooled   *http.Transport
+	single   *http.Transport // a fresh connection for each request
+	Counters Counters
+}
+
+// Dialer opens connections; trials replace it to add delay.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a client that opens connections with dial, or directly when dial is nil.
+func New(dial Dialer) *Client {
+	if dial == nil {
+		dial = Dial
+	}
+	base := http.Transport{
+		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
+		IdleConnTimeout: MaxIdleConn, MaxResponseHeaderBytes: MaxResponseHeader,
+		ReadBufferSize: readBuffer, ForceAttemptHTTP2: false,
+	}
+	single := base.Clone()
+	single.DisableKeepAlives = true
+	return &Client{pooled: base.Clone(), single: single}
+}
+
+// Dial opens a TCP connection that finds out within UnackedTimeout when the other end is gone.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: KeepAliveInterval, Count: 2,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var optErr error
+			err := c.Control(func(fd uintptr) {
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout/time.Millisecond))
+			})
+			if err != nil {
+				return err
+			}
+			return optErr
+		},
+	}
+	return d.DialContext(ctx, network, address)
+}
+
+// Call is one request to one backend server.
+type Call struct {
+	Server    *state.BackendServer
+	Request   *http.Request // URL without host; Do fills it in
+	FirstByte time.Duration // longest wait for the response header; 0 means no limit
+	// Once forbids anything that could run the request twice. It uses a fresh connection, because a pooled one may
+	// have gone silent, which would leave the outcome unknown.
+	Once bool
+}
+
+// Do sends the request. With an error, the proof says whether it may have run. An answer that says that the request
+// was refused before running comes with ProofRefused and no error. The caller closes the response body.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, Proof, error) {
+	c.Counters.Requests.Add(1)
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	ctx, cancel := context.WithCancelCause(ctx)
+	req := call.Request.WithContext(ctx)
+	req.URL.Scheme, req.URL.Host = "http", call.Server.Address.String()
+	transport := c.pooled
+	if call.Once {
+		transport = c.single
+	}
+	var timer *time.Timer
+	if call.FirstByte > 0 {
+		timer = time.AfterFunc(call.FirstByte, func() { cancel(ErrFirstByte) })
+	}
+	resp, err := transport.RoundTrip(req)
+	if timer != nil {
+		timer.Stop()
+	}
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		cancel(nil)
+		if connected.Load() {
+			c.Counters.NoProof.Add(1)
+			return nil, ProofNone, errors.Wrapf(err, "request to backend server %s", call.Server.Name)
+		}
+		c.Counters.NotSent.Add(1)
+		return nil, ProofNotSent, errors.Wrapf(err, "connect to backend server %s", call.Server.Name)
+	}
+	resp.Body = &body{ReadCloser: resp.Body, cancel: cancel}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callers.HeaderNotRun) != "" {
+		c.Counters.Refused.Add(1)
+		return resp, ProofRefused, nil
+	}
+	return resp, ProofAnswered, nil
+}
+
+// ErrFirstByte tells that no response header came in time.
+var ErrFirstByte = errors.New("no response header in time")
+
+// CloseIdle closes the unused connections to all servers, after one of them was found silent.
+func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
--- /dev/null
+++ b/transport/edge/carry.go
@@ -0,0 +1,212 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/admission"
+	"azurebridge/coordination/control"
+	"azurebridge/coordination/message"
+	"azurebridge/coordination/steering"
+	"azurebridge/protocol/callers"
+	"azurebridge/state"
+	"azurebridge/transport/backend"
+)
+
+var errFenced = errors.New("the grant could not be renewed in time")
+
+// attempt is one try of a request at one backend server.
+type attempt struct {
+	answer admission.Answer
+	server *state.BackendServer
+	start  time.Time
+}
+
+// carry runs a request: it gets a grant, sends the request, and passes the answer on. It tries another backend server
+// only when it is proved that the request has not run, or when running it twice is harmless.
+func (m *Manager) carry(w http.ResponseWriter, rq *request) {
+	ctx, cancel := context.WithCancelCause(rq.http.Context())
+	defer cancel(nil)
+	if rq.deadline > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, rq.deadline)
+		defer stop()
+	}
+	rq.http.Body = http.MaxBytesReader(w, rq.http.Body, m.opts.MaxBody)
+	var exclude []state.BackendName
+	for n := 0; n < MaxAttempts; n++ {
+		if n > 0 {
+			m.Stats.Retries.Add(1)
+		}
+		t := newTicket(cancel)
+		at, refusal, err := m.admit(ctx, t, rq, exclude)
+		if err != nil || refusal != message.RefusedNone {
+			m.refuse(w, refusal, at.answer.After, err)
+			return
+		}
+		resp, proof, err := m.send(ctx, rq, at)
+		if proof == backend.ProofAnswered {
+			m.pass(w, rq, at, resp)
+			return
+		}
+		m.release(at, resultOf(proof, err))
+		if resp != nil {
+			_ = resp.Body.Close()
+		}
+		if t.fenced.Load() {
+			m.Stats.Fenced.Add(1)
+		}
+		if !mayRetry(rq, proof) || ctx.Err() != nil {
+			m.fail(w, rq, at, proof, err)
+			return
+		}
+		exclude = append(exclude, at.server.Name)
+	}
+	m.refuse(w, message.RefusedNoBackend, time.Second, nil)
+}
+
+// mayRetry reports whether the request may be sent to another backend server.
+func mayRetry(rq *request, proof backend.Proof) bool {
+	if rq.http.ContentLength != 0 && proof != backend.ProofNotSent {
+		return false // the body has been read and is not kept
+	}
+	return proof != backend.ProofNone || !rq.once()
+}
+
+func resultOf(proof backend.Proof, err error) message.Result {
+	switch {
+	case proof == backend.ProofRefused:
+		return message.ResultShed
+	case errors.Is(err, backend.ErrFirstByte):
+		return message.ResultTimeout
+	default:
+		return message.ResultFailed
+	}
+}
+
+// admit gets a grant for the request.
+func (m *Manager) admit(ctx context.Context, t *ticket, rq *request, exclude []state.BackendName) (*attempt, message.Refusal, error) {
+	at := &attempt{}
+	s := rq.snapshot
+	targets, refusal := steering.Regions(s, rq.customer, rq.service.Name, nil)
+	if refusal != message.RefusedNone {
+		return at, refusal, nil
+	}
+	ask := &admission.Ask{Service: rq.service.Name, Customer: rq.customer, Regions: targets, Wait: rq.service.QueueTimeout, Exclude: exclude}
+	if err := m.opts.Control.Offer(control.Admit{Ask: ask, Asker: t}); err != nil {
+		return at, message.RefusedBusy, nil
+	}
+	answer, ok := t.wait(ctx)
+	if !ok {
+		return at, message.RefusedTimeout, context.Cause(ctx)
+	}
+	at.answer = answer
+	if answer.Backend == "" {
+		return at, answer.Refusal, nil
+	}
+	at.server = m.opts.Control.Snapshot().Index.Backend[answer.Backend]
+	if at.server == nil { // removed by a configuration that came in meanwhile
+		m.release(at, message.ResultUnused)
+		return at, message.RefusedNoBackend, nil
+	}
+	at.start = time.Now()
+	return at, message.RefusedNone, nil
+}
+
+func (m *Manager) release(at *attempt, r message.Result) {
+	m.opts.Control.Release(at.answer.Region, message.Release{
+		ID: at.answer.ID, Backend: at.answer.Backend, Result: r, Latency: time.Since(at.start),
+	})
+}
+
+// send sends the request to the backend server of the grant.
+func (m *Manager) send(ctx context.Context, rq *request, at *attempt) (*http.Response, backend.Proof, error) {
+	in := rq.http
+	out := &http.Request{
+		Method: in.Method, URL: &url.URL{Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		Header: make(http.Header, len(in.Header)+1), Host: in.Host, ContentLength: in.ContentLength,
+	}
+	copyHeader(out.Header, in.Header)
+	if in.ContentLength != 0 {
+		out.Body = in.Body
+	}
+	if rq.once() {
+		// net/http would send a request with this header and no body again by itself.
+		out.Header.Del(callers.HeaderIdempotencyKey)
+	}
+	if d, ok := ctx.Deadline(); ok {
+		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
+	}
+	return m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once()})
+}
+
+// pass passes an answer on. When its body ends early, the caller's connection is aborted, so that a part is never
+// taken for the whole (invariant whole-answer).
+func (m *Manager) pass(w http.ResponseWriter, rq *request, at *attempt, resp *http.Response) {
+	defer resp.Body.Close()
+	latency := time.Since(at.start)
+	h := w.Header()
+	copyHeader(h, resp.Header)
+	h.Set(callers.HeaderOutcome, string(callers.OutcomeRan))
+	w.WriteHeader(resp.StatusCode)
+	buf := m.buffers.Get().(*[]byte)
+	n, readErr, writeErr := stream(w, resp.Body, *buf)
+	m.buffers.Put(buf)
+	m.Stats.BytesCarried.Add(uint64(n))
+	result := message.ResultOK
+	if readErr != nil || resp.StatusCode >= http.StatusInternalServerError {
+		result = message.ResultFailed
+	}
+	m.opts.Control.Release(at.answer.Region, message.Release{ID: at.answer.ID, Backend: at.answer.Backend, Result: result, Latency: latency})
+	switch {
+	case readErr != nil:
+		m.Stats.CutAnswers.Add(1)
+		panic(http.ErrAbortHandler)
+	case writeErr != nil:
+		m.Stats.CallerGone.Add(1)
+	}
+}
+
+// refuse answers a request that has not run.
+func (m *Manager) refuse(w http.ResponseWriter, why message.Refusal, after time.Duration, err error) {
+	m.Stats.Refused.Add(1)
+	p := callers.Problem{Status: http.StatusServiceUnavailable, Outcome: callers.OutcomeNotRun, Reason: string(why), Step: "admission"}
+	switch why {
+	case message.RefusedPlan:
+		p.Status = http.StatusForbidden
+	case message.RefusedCustomer:
+		p.Status = http.StatusTooManyRequests
+	}
+	if err != nil {
+		p.Detail = err.Error()
+	}
+	if after == 0 && p.Status != http.StatusForbidden {
+		after = time.Second
+	}
+	callers.WriteProblem(w, p, after)
+}
+
+// fail answers a request that was sent, or could not be sent, and got no answer.
+func (m *Manager) fail(w http.ResponseWriter, rq *request, at *attempt, proof backend.Proof, err error) {
+	p := callers.Problem{Status: http.StatusBadGateway, Reason: "backend_failed", Step: "request", Peer: string(at.server.Name), Outcome: callers.OutcomeNotRun}
+	if err != nil {
+		p.Detail = err.Error()
+	}
+	if proof == backend.ProofNone && rq.once() {
+		m.Stats.Unknown.Add(1)
+		p.Outcome, p.Reason = callers.OutcomeUnknown, "outcome_unknown"
+		callers.WriteProblem(w, p, 0)
+		return
+	}
+	m.Stats.Refused.Add(1)
+	if proof == backend.ProofNone {
+		// The request is idempotent, so its caller may repeat it although it may have run.
+		p.Outcome = callers.OutcomeUnknown
+	}
+	callers.WriteProblem(w, p, time.Second)
+}
--- /dev/null
+++ b/transport/edge/request.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"azurebridge/protocol/callers"
+	"azurebridge/state"
+)
+
+// request is a checked request of a caller.
+type request struct {
+	http     *http.Request
+	snapshot *state.Snapshot
+	service  *state.Service
+	customer state.CustomerName
+	key      string        // idempotency key; empty when absent
+	deadline time.Duration // 0 means no limit
+}
+
+// once reports whether the request must run at most once.
+func (rq *request) once() bool {
+	return rq.service.Kind == state.KindSubmission && rq.http.Method != http.MethodGet && rq.http.Method != http.MethodHead
+}
+
+// parse checks a request. The problem is nil when it may be carried.
+func parse(s *state.Snapshot, r *http.Request, maxBody int64) (*request, *callers.Problem) {
+	for name := range r.Header {
+		if strings.HasPrefix(name, callers.HeaderInternalPrefix) || name == callers.HeaderNotRun {
+			return nil, bad("internal_header", "header "+name+" is reserved")
+		}
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	service := s.Index.Service[state.ServiceName(name)]
+	if service == nil {
+		return nil, &callers.Problem{Status: http.StatusNotFound, Outcome: callers.OutcomeNotRun, Reason: "unknown_service", Detail: fmt.Sprintf("no service %q", name)}
+	}
+	customer := state.CustomerName(r.Header.Get(callers.HeaderCustomer))
+	if s.Index.Customer[customer] == nil || len(r.Header.Values(callers.HeaderCustomer)) != 1 {
+		return nil, &callers.Problem{Status: http.StatusForbidden, Outcome: callers.OutcomeNotRun, Reason: "unknown_customer", Detail: fmt.Sprintf("header %s names no customer", callers.HeaderCustomer)}
+	}
+	if r.ContentLength > maxBody {
+		return nil, &callers.Problem{Status: http.StatusRequestEntityTooLarge, Outcome: callers.OutcomeNotRun, Reason: "body_too_large", Detail: fmt.Sprintf("limit is %d bytes", maxBody)}
+	}
+	rq := &request{http: r, snapshot: s, service: service, customer: customer}
+	if keys, ok := r.Header[callers.HeaderIdempotencyKey]; ok {
+		if len(keys) != 1 {
+			return nil, bad("idempotency_key", "more than one idempotency key")
+		}
+		if err := callers.CheckIdempotencyKey(keys[0]); err != nil {
+			return nil, bad("idempotency_key", err.Error())
+		}
+		rq.key = keys[0]
+	}
+	deadline, err := callers.ParseDeadline(r.Header)
+	if err != nil {
+		return nil, bad("deadline", err.Error())
+	}
+	rq.deadline = service.Deadline
+	if deadline > 0 && (rq.deadline == 0 || deadline < rq.deadline) {
+		rq.deadline = deadline
+	}
+	return rq, nil
+}
+
+func bad(reason, detail string) *callers.Problem {
+	return &callers.Problem{Status: http.StatusBadRequest, Outcome: callers.OutcomeNotRun, Reason: reason, Detail: detail}
+}
+
+// hopByHop lists the header fields that belong to one connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeader copies end-to-end header fields.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, list := range src["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			dst.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(dst, name)
+	}
+}
--- /dev/null
+++ b/transport/fleet/fleet.go
@@ -0,0 +1,169 @@
+// Package fleet carries messages between entry instances over QUIC with mutual TLS.
+//
+// Each instance keeps one connection and one unidirectional stream to each peer that it sends to. A frame is preceded
+// by its length in four bytes, big-endian. Messages may be lost when a connection fails; the protocol tolerates that.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"azurebridge/coordination/control"
+	"azurebridge/coordination/message"
+	"azurebridge/protocol/wire"
+	"azurebridge/state"
+	"azurebridge/transport/identity"
+)
+
+// Protocol is the ALPN name of the fleet protocol.
+const Protocol = "azurebridge-fleet/1"
+
+// Bounds of the fleet connections.
+const (
+	MaxQueuedPerPeer = 1024                   // messages waiting for one peer
+	KeepAlive        = 300 * time.Millisecond // between QUIC keep-alive packets
+	IdleTimeout      = time.Second            // after which a silent connection is dropped
+	HandshakeTimeout = time.Second
+	RedialDelay      = 200 * time.Millisecond // after a failed connection attempt
+	PeerIdleTimeout  = time.Minute            // after which the goroutine of an unused peer ends
+	lengthPrefix     = 4                      // bytes
+)
+
+// Stats counts what the fleet transport did.
+type Stats struct {
+	Sent       atomic.Uint64
+	Received   atomic.Uint64
+	Dropped    atomic.Uint64 // messages dropped because the peer's queue was full or its connection failed
+	Malformed  atomic.Uint64
+	DialFailed atomic.Uint64
+}
+
+// Options sets up a Manager.
+type Options struct {
+	Identity *identity.Identity
+	Listen   string                                  // address to listen on, host:port
+	Resolve  func(state.InstanceName) (string, bool) // address of a peer
+	Delay    func(state.InstanceName) time.Duration  // extra delay towards a peer for trials; nil for none
+	Log      hclog.Logger
+}
+
+// Manager sends and receives messages.
+type Manager struct {
+	opts     Options
+	listener *quic.Listener
+	deliver  func(control.Event) error
+	Stats    Stats
+
+	mu    sync.Mutex
+	peers map[state.InstanceName]*peer
+}
+
+// New listens for other instances.
+func New(opts Options) (*Manager, error) {
+	ln, err := quic.ListenAddr(opts.Listen, opts.Identity.Server(identity.RoleInstance, Protocol), quicConfig())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for instances on %s", opts.Listen)
+	}
+	return &Manager{opts: opts, listener: ln, peers: make(map[state.InstanceName]*peer)}, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod: KeepAlive, MaxIdleTimeout: IdleTimeout, HandshakeIdleTimeout: HandshakeTimeout,
+		MaxIncomingUniStreams: 4, MaxIncomingStreams: -1,
+		InitialStreamReceiveWindow: wire.MaxFrame * 2, MaxStreamReceiveWindow: 1 << 20,
+		InitialConnectionReceiveWindow: wire.MaxFrame * 2, MaxConnectionReceiveWindow: 1 << 20,
+	}
+}
+
+// Run accepts connections and passes each message to deliver until ctx ends.
+func (m *Manager) Run(ctx context.Context, deliver func(control.Event) error) {
+	m.deliver = deliver
+	context.AfterFunc(ctx, func() { _ = m.listener.Close() })
+	for {
+		conn, err := m.listener.Accept(ctx)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
+				return
+			}
+			m.opts.Log.Warn("accept instance connection failed", "error", err)
+			continue
+		}
+		go m.serve(ctx, conn)
+	}
+}
+
+func (m *Manager) serve(ctx context.Context, conn *quic.Conn) {
+	for {
+		s, err := conn.AcceptUniStream(ctx)
+		if err != nil {
+			return
+		}
+		go m.read(conn, s)
+	}
+}
+
+// read passes on the frames of one stream. A malformed frame ends the connection, since the stream is then out of step.
+func (m *Manager) read(conn *quic.Conn, s *quic.ReceiveStream) {
+	r := bufio.NewReaderSize(s, wire.MaxFrame)
+	var size [lengthPrefix]byte
+	buf := make([]byte, 0, 4096)
+	for {
+		if _, err := io.ReadFull(r, size[:]); err != nil {
+			return
+		}
+		n := binary.BigEndian.Uint32(size[:])
+		if n > wire.MaxFrame {
+			m.refuse(conn, errors.Wrapf(wire.ErrFrame, "frame of %d bytes", n))
+			return
+		}
+		if cap(buf) < int(n) {
+			buf = make([]byte, n)
+		}
+		buf = buf[:n]
+		if _, err := io.ReadFull(r, buf); err != nil {
+			return
+		}
+		e, err := wire.Decode(buf)
+		if err != nil {
+			m.refuse(conn, err)
+			return
+		}
+		m.Stats.Received.Add(1)
+		if m.deliver(control.Received{Envelope: e}) != nil {
+			m.Stats.Dropped.Add(1)
+		}
+	}
+}
+
+func (m *Manager) refuse(conn *quic.Conn, err error) {
+	m.Stats.Malformed.Add(1)
+	m.opts.Log.Warn("closing instance connection", "peer", conn.RemoteAddr().String(), "error", err)
+	_ = conn.CloseWithError(1, "malformed frame")
+}
+
+// Send queues a message for its receiver. It never blocks; a message for a full queue is dropped and counted.
+func (m *Manager) Send(e *message.Envelope) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[e.To]
+	if p == nil {
+		p = &peer{name: e.To, queue: make(chan *message.Envelope, MaxQueuedPerPeer)}
+		m.peers[e.To] = p
+		go p.run(m)
+	}
+	select {
+	case p.queue <- e:
+	default:
+		m.Stats.Dropped.Add(1)
+	}
+}
--- /dev/null
+++ b/transport/fleet/peer.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"azurebridge/coordination/message"
+	"azurebridge/protocol/wire"
+	"azurebridge/state"
+	"azurebridge/transport/identity"
+)
+
+// peer sends queued messages to one instance. Its fields but queue belong to its goroutine.
+type peer struct {
+	name    state.InstanceName
+	queue   chan *message.Envelope
+	conn    *quic.Conn
+	writer  *bufio.Writer
+	address string
+	retryAt time.Time
+}
+
+// run sends until the peer has been unused for PeerIdleTimeout.
+func (p *peer) run(m *Manager) {
+	idle := time.NewTimer(PeerIdleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case e := <-p.queue:
+			idle.Reset(PeerIdleTimeout)
+			if err := p.sendAll(m, e); err != nil {
+				p.drop(m, err)
+			}
+		case <-idle.C:
+			if m.forget(p) {
+				p.close()
+				return
+			}
+			idle.Reset(PeerIdleTimeout)
+		}
+	}
+}
+
+// forget removes an unused peer. It returns false when a message came in meanwhile.
+func (m *Manager) forget(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(p.queue) > 0 {
+		return false
+	}
+	delete(m.peers, p.name)
+	return true
+}
+
+// sendAll writes e and what else is queued with one flush.
+func (p *peer) sendAll(m *Manager, e *message.Envelope) error {
+	if m.opts.Delay != nil {
+		if d := m.opts.Delay(p.name); d > 0 {
+			time.Sleep(d) // trials only: the queue behind it forms one batch
+		}
+	}
+	if err := p.connect(m); err != nil {
+		m.Stats.Dropped.Add(1)
+		return err
+	}
+	for {
+		if err := p.write(m, e); err != nil {
+			return err
+		}
+		select {
+		case e = <-p.queue:
+			continue
+		default:
+		}
+		return errors.Wrapf(p.writer.Flush(), "send to instance %s", p.name)
+	}
+}
+
+func (p *peer) write(m *Manager, e *message.Envelope) error {
+	data, err := wire.Encode(e)
+	if err != nil {
+		m.Stats.Malformed.Add(1)
+		m.opts.Log.Error("message not sent", "error", err)
+		return nil
+	}
+	var size [lengthPrefix]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(data)))
+	if _, err := p.writer.Write(size[:]); err != nil {
+		return errors.Wrapf(err, "send to instance %s", p.name)
+	}
+	if _, err := p.writer.Write(data); err != nil {
+		return errors.Wrapf(err, "send to instance %s", p.name)
+	}
+	m.Stats.Sent.Add(1)
+	return nil
+}
+
+// connect dials when there is no live connection, or when the peer's address has changed.
+func (p *peer) connect(m *Manager) error {
+	address, ok := m.opts.Resolve(p.name)
+	if !ok {
+		return errors.Errorf("connect to instance %s: address unknown", p.name)
+	}
+	if p.conn != nil && p.conn.Context().Err() == nil && address == p.address {
+		return nil
+	}
+	if time.Now().Before(p.retryAt) {
+		return errors.Errorf("connect to instance %s: waiting after a failed attempt", p.name)
+	}
+	p.close()
+	ctx, cancel := context.WithTimeout(context.Background(), HandshakeTimeout)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, address, m.opts.Identity.Client(identity.RoleInstance, Protocol), quicConfig())
+	if err != nil {
+		m.Stats.DialFailed.Add(1)
+		return errors.Wrapf(err, "connect to instance %s at %s", p.name, address)
+	}
+	s, err := conn.OpenUniStream()
+	if err != nil {
+		_ = conn.CloseWithError(0, "")
+		return errors.Wrapf(err, "open stream to instance %s", p.name)
+	}
+	p.conn, p.writer, p.address = conn, bufio.NewWriterSize(s, wire.MaxFrame), address
+	return nil
+}
+
+// drop closes a failed connection; the log line marks the change of state once.
+func (p *peer) drop(m *Manager, err error) {
+	if p.conn != nil {
+		m.opts.Log.Info("connection to instance lost", "error", err)
+	}
+	p.close()
+	if now := time.Now(); now.After(p.retryAt) {
+		p.retryAt = now.Add(RedialDelay)
+	}
+}
+
+func (p *peer) close() {
+	if p.conn != nil {
+		_ = p.conn.CloseWithError(0, "")
+	}
+	p.conn, p.writer = nil, nil
+}
