transport/load: add the open-loop load tool

A closed loop hides slow answers, because it sends less while it waits. The tool sends each mix line as a seeded Poisson process and measures from the intended start.

--- /dev/null
+++ b/cmd/azb-load/main.go
@@ -0,0 +1,68 @@
+// Command azb-load sends requests to a deployment as its callers do, checks every answer, and prints a report.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+
+	"azurebridge/protocol/settings"
+	"azurebridge/transport/load"
+)
+
+// Exit codes.
+const (
+	exitBroken = 1 // a promise was broken: see the report
+	exitUsage  = 2 // wrong arguments or settings, or the system could not be asked
+)
+
+var cli struct {
+	Config   string        `help:"Settings file (INI)." required:"" type:"path"`
+	Duration time.Duration `help:"Length of the load; replaces the one of the settings."`
+	Seed     uint64        `help:"Seed of the arrivals; replaces the one of the settings."`
+	Wait     time.Duration `help:"Longest wait until all entry instances are ready." default:"30s"`
+	LogLevel string        `help:"Log level." enum:"trace,debug,info,warn,error" default:"info"`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Open-loop load with a check of every answer. Exits 0 only if no promise was broken."))
+	clean, err := run()
+	switch {
+	case err != nil:
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(exitUsage)
+	case !clean:
+		os.Exit(exitBroken)
+	}
+}
+
+func run() (clean bool, err error) {
+	cfg, err := settings.ReadLoad(cli.Config)
+	if err != nil {
+		return false, err
+	}
+	if cli.Duration > 0 {
+		cfg.Duration = cli.Duration
+	}
+	if cli.Seed > 0 {
+		cfg.Seed = cli.Seed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := hclog.New(&hclog.LoggerOptions{Name: "load", Level: hclog.LevelFromString(cli.LogLevel), JSONFormat: true, Output: os.Stderr})
+	r := load.New(cfg, log)
+	if err := r.WaitReady(ctx, cli.Wait); err != nil {
+		return false, err
+	}
+	log.Info("all entry instances are ready", "duration", cfg.Duration.String())
+	report, err := r.Run(ctx)
+	if err != nil {
+		return false, err
+	}
+	return report.Clean(), report.Write(os.Stdout)
+}
--- /dev/null
+++ b/protocol/settings/load_test.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/protocol/inifile"
+)
+
+// Guards against example settings that the programs refuse.
+func TestExamplesAreAccepted(t *testing.T) {
+	for _, name := range []string{"archive", "fitil"} {
+		g := NewWithT(t)
+		l, err := ReadLoad("../../examples/" + name + "/load.ini")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Deployment).To(Equal(name))
+		s, err := LoadStandin("../../examples/" + name + "/standin.ini")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Instances).To(HaveLen(20))
+	}
+}
+
+// Guards against a scheduled fault whose JSON is changed on its way through the INI file.
+func TestScheduledFault(t *testing.T) {
+	g := NewWithT(t)
+	const fault = `{"kind":"slow","server":"search-01","factor":10}`
+	f, err := inifile.Parse("load.ini", []byte("[target]\ndeployment = x\nplatform = 127.0.0.1:1\ncontrol = 127.0.0.1:2\n[fault slow]\nat = 5s\nuntil = 10s\nfault = "+fault+"\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	l, err := parseLoad(f)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Faults).To(HaveLen(1))
+	g.Expect(l.Faults[0].JSON).To(Equal(fault))
+}
--- /dev/null
+++ b/transport/load/runner.go
@@ -0,0 +1,174 @@
+// Package load sends an open loop of requests as callers do, and checks every answer: bodies byte by byte, and what
+// callers were told of their submissions against the ledger of the stand-ins.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"azurebridge/protocol/settings"
+	"azurebridge/transport/standin"
+)
+
+// Bounds of the load tool's connections and reads.
+const (
+	maxIdlePerEntry = 256 // connections
+	idleConn        = 2 * time.Second
+	dialTimeout     = time.Second
+	ledgerTimeout   = 10 * time.Second
+	maxLedger       = 256 << 20 // bytes
+	maxRepeatDelay  = 300 * time.Millisecond
+)
+
+// Runner makes one run.
+type Runner struct {
+	cfg       *settings.Load
+	log       hclog.Logger
+	sender    *sender
+	directory *directory
+	told      *Told
+	stats     Stats
+	table     table
+	slots     chan struct{} // bounds the requests in flight
+	running   sync.WaitGroup
+	nonce     string // distinguishes the submissions of runs against the same stand-ins
+}
+
+// New returns a runner.
+func New(cfg *settings.Load, log hclog.Logger) *Runner {
+	r := &Runner{
+		cfg: cfg, log: log, told: NewTold(), table: table{cells: make(map[pair]*cell)},
+		slots: make(chan struct{}, cfg.MaxInFlight), nonce: strconv.FormatInt(time.Now().UnixNano(), 36),
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEntry, IdleConnTimeout: idleConn, DisableCompression: true, ReadBufferSize: checkBuffer,
+	}}
+	r.directory = newDirectory(client, cfg.Platform.String(), &r.stats)
+	r.sender = &sender{http: client, directory: r.directory, told: r.told, stats: &r.stats, rtt: cfg.NetworkRTT}
+	return r
+}
+
+// Run sends the load and returns the report. It fails when the stand-ins cannot be asked.
+func (r *Runner) Run(ctx context.Context) (*Report, error) {
+	if _, err := r.directory.refresh(ctx); err != nil {
+		return nil, errors.Wrap(err, "read the list of instances")
+	}
+	before, err := r.ledger(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begin := time.Now()
+	plan := r.scheduleFaults(ctx)
+	var streams sync.WaitGroup
+	for i := range r.cfg.Mix {
+		line := &r.cfg.Mix[i]
+		for _, customer := range line.Customers {
+			for _, region := range line.Regions {
+				streams.Go(func() { r.stream(ctx, begin, line, customer, region) })
+			}
+		}
+	}
+	streams.Wait()
+	seconds := time.Since(begin).Seconds()
+	r.settle(cancel)
+	if err := plan(); err != nil {
+		return nil, err
+	}
+	after, err := r.ledger(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return r.report(before, after, seconds), nil
+}
+
+// settle waits for the requests in flight, and cancels those that take longer than the settings allow.
+func (r *Runner) settle(cancel context.CancelFunc) {
+	t := time.AfterFunc(r.cfg.Settle, cancel)
+	r.running.Wait()
+	t.Stop()
+}
+
+// stream sends the requests of one customer of one region as a Poisson process that never waits for answers.
+func (r *Runner) stream(ctx context.Context, begin time.Time, line *settings.MixLine, customer, region string) {
+	rate := line.PerSecond / float64(len(line.Customers)*len(line.Regions))
+	if rate <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(r.cfg.Seed, xxhash.Sum64String(line.Name+"\x00"+customer+"\x00"+region)))
+	next := time.Duration(0)
+	for n := uint64(0); ; n++ {
+		next += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if next > r.cfg.Duration || !wait(ctx, time.Until(begin.Add(next))) {
+			return
+		}
+		o := r.order(line, customer, region, n, random)
+		delay := time.Duration(random.Float64() * float64(maxRepeatDelay))
+		repeat := o.key != "" && random.Float64() < line.Repeat
+		select {
+		case r.slots <- struct{}{}:
+		default:
+			r.stats.Overflow.Add(1)
+			continue
+		}
+		intended := begin.Add(next)
+		r.running.Go(func() {
+			defer func() { <-r.slots }()
+			r.one(ctx, o, intended)
+		})
+		if repeat {
+			r.running.Go(func() { r.repeat(ctx, *o, delay) })
+		}
+	}
+}
+
+// order makes the next request of a stream.
+func (r *Runner) order(line *settings.MixLine, customer, region string, n uint64, random *rand.Rand) *order {
+	client := random.IntN(line.Clients)
+	o := &order{
+		line: line, customer: customer, random: random.Uint64(),
+		caller: caller{customer: customer, service: line.Service, region: region, client: region + "-" + strconv.Itoa(client)},
+	}
+	keyed := random.Float64() < line.Keyed
+	if line.Submission {
+		o.id = r.nonce + "-" + line.Name + "-" + customer + "-" + region + "-" + strconv.FormatUint(n, 10)
+		if keyed {
+			o.key = o.id
+		}
+	}
+	return o
+}
+
+// one makes a request and counts it. The latency runs from the intended start.
+func (r *Runner) one(ctx context.Context, o *order, intended time.Time) {
+	res := r.sender.do(ctx, o)
+	r.table.of(pair{o.customer, o.line.Service}).add(res, time.Since(intended))
+}
+
+// repeat sends a submission again with the same key through another entry instance, while or after the first runs.
+func (r *Runner) repeat(ctx context.Context, o order, delay time.Duration) {
+	if !wait(ctx, delay) {
+		return
+	}
+	r.stats.Repeats.Add(1)
+	o.first = 1
+	r.sender.do(ctx, &o)
+}
+
+// ledger reads the ledger of the stand-ins.
+func (r *Runner) ledger(ctx context.Context) (*standin.Report, error) {
+	var out standin.Report
+	err := getJSON(ctx, r.sender.http, ledgerTimeout, "http://"+r.cfg.Control.String()+standin.PathLedger, maxLedger, &out)
+	return &out, errors.Wrap(err, "read the ledger of the stand-ins")
+}
