scripts: run both example deployments under load with make run

make run starts the stand-ins and 20 entry instances of each deployment in turn, waits until each of them answers look-ups and carries a read of each service, runs the mix, and ends the processes that it started by pid.

One deployment after the other: both at once would share ten cores between 44 processes and blur the latencies. Entry instances are killed at the end instead of stopped, since a planned stop waits 6 s for cached look-ups.

--- a/Makefile
+++ b/Makefile
@@ -14,5 +14,8 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+run: build
+	@DEPLOYMENT="$(DEPLOYMENT)" DURATION="$(DURATION)" scripts/run.sh
+
 clean:
 	rm -rf bin out
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,19 +1,29 @@
 # Functions shared by the scripts. Source it after `set -euo pipefail` from the project's root.
 
 # pick_network prints a number N such that no other run uses the loopback addresses 127.N.0.0/16.
-# The folder that marks a run's network goes away with the run.
+# The folder that marks a run's network names the run's process; the mark of a run that is gone is taken over.
 pick_network() {
-  local n
+  local n mark
   for n in $(shuf -i 30-250); do
-    if mkdir "${TMPDIR:-/tmp}/azb-network-$n" 2>/dev/null; then
+    mark="${TMPDIR:-/tmp}/azb-network-$n"
+    if mkdir "$mark" 2>/dev/null; then
+      echo "$$" >"$mark/pid"
       echo "$n"
       return 0
     fi
+    if [[ -s $mark/pid ]] && ! kill -0 "$(<"$mark/pid")" 2>/dev/null && mv "$mark" "$mark.stale-$$" 2>/dev/null; then
+      rm -rf "$mark.stale-$$"
+    fi
   done
   echo "no free loopback network; remove stale ${TMPDIR:-/tmp}/azb-network-* folders" >&2
   return 1
 }
 
+# release_network N gives a network back.
+release_network() {
+  rm -rf "${TMPDIR:-/tmp}/azb-network-$1"
+}
+
 # render_deployment EXAMPLE OUT NETWORK writes the settings of all processes of one deployment below OUT.
 render_deployment() {
   local example=$1 out=$2 network=$3 file
@@ -35,3 +45,53 @@
   bin/azb-ctl keys --folder "$out/keys" --fleet "$example" $(cut -d' ' -f1 "$out/instances.txt")
   bin/azb-ctl keys --folder "$out/keys" --fleet "$example" --role operator operator
 }
+
+# PIDS holds the processes that this run started.
+PIDS=()
+
+# start LOG COMMAND... starts a process that writes to LOG.
+start() {
+  local log=$1
+  shift
+  "$@" >"$log" 2>&1 &
+  PIDS+=($!)
+}
+
+# stop_all ends the processes that this run started, at once: the run is over, so a planned stop would only take time.
+stop_all() {
+  local pid
+  for pid in "${PIDS[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  for pid in "${PIDS[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  PIDS=()
+}
+
+# start_deployment EXAMPLE OUT NETWORK starts the stand-ins and the entry instances, and applies the configuration.
+start_deployment() {
+  local example=$1 out=$2 network=$3 name rest
+  render_deployment "$example" "$out" "$network"
+  # The settings name the deployment file without a folder, so the stand-ins run in the folder of the settings.
+  start "$out/standin.log" env -C "$out" "$PWD/bin/azb-standin" --config standin.ini
+  while read -r name rest; do
+    # Entry instances are small machines: two threads of Go code each.
+    start "$out/$name.log" env GOMAXPROCS=2 bin/azb-entry --config "$out/$name.ini"
+  done <"$out/instances.txt"
+  apply_configuration "$out" "$network"
+}
+
+# apply_configuration OUT NETWORK applies the two lists as soon as the store answers.
+apply_configuration() {
+  local out=$1 network=$2 i
+  for i in $(seq 50); do
+    if bin/azb-ctl apply --store "127.$network.0.1:7000" --deployment "$out/deployment.ini" --plans "$out/plans.ini" \
+      --customers "$out/customers.ini" >"$out/apply.log" 2>&1; then
+      return 0
+    fi
+    sleep 0.2
+  done
+  cat "$out/apply.log" >&2
+  return 1
+}
