--- a/transport/load/load_test.go
+++ b/transport/load/load_test.go
@@ -168,6 +168,36 @@
 	g.Expect(r.Clean()).To(BeTrue())
 }
 
+// Guards against arrivals that depend on how fast answers come, which would make runs impossible to repeat, and against
+// a scheduled fault that is not switched on, or not off.
+func TestOpenLoopIsRepeatable(t *testing.T) {
+	g := NewWithT(t)
+	var counts []uint64
+	for range 2 {
+		b := newBench(t, 0)
+		b.cfg.Duration, b.cfg.Settle, b.cfg.Seed = 50*time.Millisecond, time.Minute, 7
+		b.slots = make(chan struct{}, 1000)
+		for i := range b.cfg.Mix {
+			line := &b.cfg.Mix[i]
+			line.PerSecond, line.Regions, line.Keyed, line.Repeat = 400, []string{"near"}, 1, 1
+		}
+		b.cfg.Faults = []settings.ScheduledFault{
+			{Name: "on", JSON: `{"id":"on","kind":"load_lie"}`},
+			{Name: "off", Until: time.Millisecond, JSON: `{"id":"off","kind":"load_lie"}`},
+		}
+		r, err := b.Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Requests).To(Equal(r.OK))
+		g.Expect(r.Overflow).To(BeZero())
+		g.Expect(r.Repeats).To(Equal(r.Services["orders"].Requests))
+		g.Expect(r.DuplicateRuns).To(Equal(int(r.Repeats)), "nothing here keeps idempotency keys")
+		g.Expect(b.standin.Faults.List()).To(Equal([]standin.Fault{{ID: "on", Kind: standin.LoadLie}}))
+		counts = append(counts, r.Requests, r.Repeats)
+	}
+	g.Expect(counts[0]).To(BeNumerically(">", 0))
+	g.Expect(counts[:2]).To(Equal(counts[2:]))
+}
+
 // Guards against a refusal that hides an earlier attempt without proof.
 func TestTold(t *testing.T) {
 	const ran, notRun, unknown = callers.OutcomeRan, callers.OutcomeNotRun, callers.OutcomeUnknown
--- a/transport/load/report.go
+++ b/transport/load/report.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	for _, c := range r.caps {
-		if _, err := fmt.Fprintf(w, "limit of %s exceeded: limit %d, peak %d, %d overshoots\n", c.Name, c.Limit, c.Peak, c.Overshoots); err != nil {
+		if _, err := fmt.Fprintf(w, "limit of %s exceeded: limit %d, peak %d, %d overshoots, longest %d ms\n", c.Name, c.Limit, c.Peak, c.Overshoots, c.LongestMs); err != nil {
 			return err
 		}
 	}
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -161,6 +161,13 @@
 	if !wait(ctx, delay) {
 		return
 	}
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	default:
+		r.stats.Overflow.Add(1)
+		return
+	}
 	r.stats.Repeats.Add(1)
 	o.first = 1
 	r.sender.do(ctx, &o)
--- a/transport/standin/ledger.go
+++ b/transport/standin/ledger.go
@@ -38,6 +38,7 @@
 	Limit      int    `json:"limit"` // 0 means none
 	Peak       int    `json:"peak"`
 	Overshoots int    `json:"overshoots"`
+	LongestMs  int64  `json:"longest_excess_ms"` // also when it was shorter than the grace
 }
 
 // LinkUse is the use of a directed link. An overshoot is a window of 100 ms with more bytes than the rate allows.
@@ -91,8 +92,12 @@
 	switch {
 	case !over && stillOver:
 		g.overSince = now
-	case over && !stillOver && now.Sub(g.overSince) >= grace:
-		g.Overshoots++
+	case over && !stillOver:
+		lasted := now.Sub(g.overSince)
+		g.LongestMs = max(g.LongestMs, lasted.Milliseconds())
+		if lasted >= grace {
+			g.Overshoots++
+		}
 	}
 }
 
