--- a/transport/standin/content/content_test.go
+++ b/transport/standin/content/content_test.go
@@ -41,3 +41,16 @@
 	b.Altered().Fill(part, 3)
 	g.Expect(b.Matches(part, 3)).To(BeFalse())
 }
+
+func BenchmarkMatches(b *testing.B) {
+	body := New("x", 1<<23)
+	part := make([]byte, 64<<10)
+	body.Fill(part, 0)
+	b.SetBytes(int64(len(part)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if !body.Matches(part, 0) {
+			b.Fatal("body does not match itself")
+		}
+	}
+}
