--- /dev/null
+++ b/model/claims.pml
@@ -0,0 +1,93 @@
+/* Claims of one idempotency key in a log of the store.
+ *
+ * Two attempts with the same key go to two writers, both of which believe to be the writer of the shard. A record is
+ * created only if its sequence number is absent. The reply to a create may be lost although it took effect, the store
+ * may be down, and a writer may restart and lose its index.
+ *
+ * Properties (assertions): once: at most one attempt is dispatched unless the earlier one was proved not to have run.
+ * truth: an attempt that was answered "unavailable" has no record in the log.
+ *
+ * Broken variants, each of which must violate a property:
+ *   ASSUME_NOT_WRITTEN  a lost reply is taken for a failed write, and the key is free again
+ *   TRUST_INDEX         a writer overwrites the next sequence number that its index shows, without create-if-absent
+ */
+#define LOG 4            /* sequence numbers */
+#define NONE 255
+
+byte record[LOG] = NONE; /* attempt that the record claims; the log grows by create-if-absent */
+byte dispatched;
+bool unavailable[2];
+bool down;
+
+#define inlog(a) (record[0] == a || record[1] == a || record[2] == a || record[3] == a)
+#define truth (!(unavailable[0] && inlog(0)) && !(unavailable[1] && inlog(1)))
+
+inline scan() {          /* read the log from its start: index = first free number, owner = attempt that holds the key */
+  index = 0; owner = NONE;
+  do
+  :: index < LOG && record[index] != NONE ->
+       if :: owner == NONE -> owner = record[index] :: else fi;
+       index++
+  :: else -> break
+  od
+}
+
+/* Writer and entry instance of attempt a. */
+proctype Attempt(byte a) {
+  byte index, owner, tries;
+  bool lost;
+  owner = NONE;
+  atomic { !down -> scan() }               /* load the log */
+again:
+  if
+  :: owner == a -> goto dispatch           /* own record: the claim is in the log */
+  :: owner != NONE && owner != a -> goto done /* pending elsewhere: answer unknown, never dispatch */
+  :: owner == NONE && index < LOG
+  fi;
+  if
+  :: tries == 2 -> goto done               /* gives up: answer uncertain, never dispatch */
+  :: else -> tries++
+  fi;
+  if
+  :: atomic { down -> unavailable[a] = true; assert(truth); goto done } /* refused by the store before anything was written */
+  :: atomic { !down ->                     /* the create reaches the store */
+       lost = false;
+       if
+#ifdef TRUST_INDEX
+       :: record[index] = a; owner = a; assert(truth)
+#else
+       :: record[index] == NONE -> record[index] = a; owner = a; assert(truth)
+       :: record[index] != NONE -> scan()  /* conflict: read on */
+#endif
+       fi;
+       if
+       :: skip
+       :: lost = true; owner = NONE        /* the reply is lost */
+       fi }
+  fi;
+  if
+  :: lost ->
+#ifdef ASSUME_NOT_WRITTEN
+       unavailable[a] = true; assert(truth); goto done
+#else
+       atomic { !down -> scan() }          /* read the record back; wait while the store is down */
+#endif
+  :: else
+  fi;
+  goto again;
+dispatch:
+  atomic { dispatched++; assert(dispatched <= 1) };
+done:
+  skip
+}
+
+proctype Store() {
+  byte outages;
+  do
+  :: !down && outages < 2 -> down = true; outages++
+  :: down -> down = false
+  :: timeout -> break
+  od
+}
+
+init { atomic { run Attempt(0); run Attempt(1); run Store() } }
