--- a/protocol/inifile/inifile.go
+++ b/protocol/inifile/inifile.go
@@ -72,7 +72,9 @@
 
 // Parse reads a file from memory; name is used in error messages.
 func Parse(name string, data []byte) (*File, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: true, SkipUnrecognizableLines: false}, data)
+	// The library would let a section [a.b] inherit the keys of [a]; no section name holds a NUL.
+	options := ini.LoadOptions{AllowNonUniqueSections: true, ChildSectionDelimiter: "\x00"}
+	f, err := ini.LoadSources(options, data)
 	if err != nil {
 		return nil, errors.Wrapf(err, "parse %s", name)
 	}
