coordination/rollout: spread configurations among instances

A configuration of one part is pushed from the accepting instance to the two readers of each region and from these to their members; a larger one is offered and pulled in parts. Offers once a second repair losses. Only a completely received configuration whose digest matches is decoded.

--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -22,9 +22,6 @@
 // Received is a message from another instance.
 type Received struct{ Envelope *message.Envelope }
 
-// Configured brings an accepted configuration, from the store or a peer.
-type Configured struct{ Config *state.Config }
-
 // Listed brings the platform's list of instances.
 type Listed struct{ Instances []state.Instance }
 
@@ -34,17 +31,17 @@
 // Inspect asks for a dump of the control state. The core calls Done once, on the control goroutine.
 type Inspect struct{ Done func(*Dump) }
 
-func (Admit) event()      {}
-func (Received) event()   {}
-func (Configured) event() {}
-func (Listed) event()     {}
-func (Stopping) event()   {}
-func (Inspect) event()    {}
+func (Admit) event()    {}
+func (Received) event() {}
+func (Listed) event()   {}
+func (Stopping) event() {}
+func (Inspect) event()  {}
 
 // Ready is the work that the core wants done.
 type Ready struct {
 	Messages []*message.Envelope
 	Snapshot *state.Snapshot // nil when unchanged
+	Config   ConfigWork
 }
 
 // Stats counts what the core did.
@@ -66,6 +63,7 @@
 	loads     map[state.RegionName]state.RegionLoad
 	home      *admission.Home // set while this instance is home of its region
 	holder    *admission.Holder
+	rollout   configState
 	leaving   bool
 	changed   bool
 	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
@@ -84,6 +82,7 @@
 	c.config = &state.Config{}
 	c.index = state.NewIndex(c.config)
 	c.instances = []state.Instance{self}
+	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.changed = true
 	return c
@@ -97,10 +96,11 @@
 		c.holder.Ask(now, ev.Ask, ev.Asker)
 	case Received:
 		c.receive(now, ev.Envelope)
-	case Configured:
-		c.configure(ev.Config)
+	case Configured, Undecodable, Recall:
+		c.stepConfig(now, ev)
 	case Listed:
 		c.list(ev.Instances)
+		c.rollout.listed = true
 	case Stopping:
 		c.leaving, c.changed = true, true
 	case Inspect:
@@ -119,6 +119,7 @@
 		c.reportStatus(now)
 	}
 	c.holder.Tick(now)
+	c.tickConfig(now)
 }
 
 // Ready returns the work since the last call.
@@ -145,6 +146,7 @@
 // collect moves the cores' messages to Ready, or to the local queue when they are for this instance.
 func (c *Core) collect() {
 	c.post(c.holder.TakeOutbound())
+	c.collectConfig()
 	if c.home != nil {
 		c.post(c.home.TakeOutbound())
 	}
@@ -197,20 +199,8 @@
 			Services: m.Services, ReportedAt: now,
 		}
 		c.changed = true
-	}
-}
-
-// configure takes a configuration into force. Invariant config-final: the revision in force never decreases.
-func (c *Core) configure(cfg *state.Config) {
-	if cfg.Revision <= c.config.Revision {
-		c.Stats.OldRevisions++
-		return
-	}
-	c.config = cfg
-	c.index = state.NewIndex(cfg)
-	c.changed = true
-	if c.home != nil {
-		c.home.ApplyConfig(cfg, c.index)
+	default:
+		c.deliverConfig(now, from, b)
 	}
 }
 
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -10,6 +10,7 @@
 	Self      state.Instance        `json:"self"`
 	Revision  state.Revision        `json:"revision"`
 	Leaving   bool                  `json:"leaving"`
+	Config    ConfigDump            `json:"config"`
 	Instances []state.Instance      `json:"instances"`
 	Homes     []message.HomeClaim   `json:"homes"`
 	Loads     []state.RegionLoad    `json:"loads"`
@@ -20,6 +21,7 @@
 
 func (c *Core) dump(state.Instant) *Dump {
 	d := &Dump{Self: c.self, Revision: c.config.Revision, Leaving: c.leaving, Instances: c.instances, Held: make(map[string]int), Stats: c.Stats}
+	d.Config = c.dumpConfig()
 	d.Stats.Holder = c.holder.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -39,6 +39,7 @@
 	core     *Core
 	clock    func() state.Instant
 	sender   Sender
+	configs  ConfigWorker // nil until SetConfigWorker
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -137,4 +138,5 @@
 	for _, e := range r.Messages {
 		l.sender.Send(e)
 	}
+	l.handConfig(r.Config)
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -233,27 +233,42 @@
 	Outcome Outcome
 }
 
-// ConfigOffer tells the highest revision that the sender has.
+// ConfigDigest is the SHA-256 digest of an encoded configuration.
+type ConfigDigest [32]byte
+
+// ConfigOffer tells the highest revision that the sender has. A receiver with a higher one answers with its own offer.
 type ConfigOffer struct {
 	Revision state.Revision
+	Digest   ConfigDigest
+	Size     int             // bytes of the encoded configuration
+	Sender   *state.Instance // in periodic offers, for a receiver that has no list of instances yet; else nil
 }
 
-// ConfigPull asks for a configuration newer than Have.
+// ConfigPull asks for parts of the configuration that a ConfigOffer named.
 type ConfigPull struct {
-	Have state.Revision
+	Have     state.Revision // in force at the sender
+	Revision state.Revision // wanted
+	Digest   ConfigDigest
+	Part     int // first part wanted
+	Count    int // parts wanted, at most MaxConfigWindow
 }
 
-// ConfigPush carries an accepted configuration in its canonical encoding.
+// ConfigPush carries one part of an accepted configuration in its encoded form.
 type ConfigPush struct {
 	Revision state.Revision
-	Data     []byte
+	Data     []byte // of this part; MaxConfigPart bytes, but for the last part
+	Digest   ConfigDigest
+	Size     int // bytes of the whole encoded configuration
+	Part     int // number of this part, from 0
 }
 
 // Bounds of messages.
 const (
-	MaxOutcomeBody       = 4 << 10 // bytes
-	MaxInstancesPerReply = 128     // instances
-	MaxHeldGrants        = 512     // grants in one HeldGrants
+	MaxOutcomeBody       = 4 << 10  // bytes
+	MaxInstancesPerReply = 128      // instances
+	MaxHeldGrants        = 512      // grants in one HeldGrants
+	MaxConfigPart        = 48 << 10 // bytes of a configuration in one ConfigPush
+	MaxConfigWindow      = 4        // parts asked for by one ConfigPull
 )
 
 func (*GrantRequest) body()    {}
--- /dev/null
+++ b/protocol/wire/config_test.go
@@ -0,0 +1,24 @@
+package wire_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/message"
+	"azurebridge/protocol/wire"
+	"azurebridge/state"
+)
+
+// Guards against a full part of a configuration that does not fit into a frame, or that changes on the way.
+func TestConfigPartFitsIntoFrame(t *testing.T) {
+	g := NewWithT(t)
+	name := state.InstanceName(strings.Repeat("n", state.MaxNameLength))
+	e := &message.Envelope{From: name, Incarnation: 1 << 63, To: name, Body: &message.ConfigPush{
+		Revision: 1 << 63, Data: make([]byte, message.MaxConfigPart), Digest: message.ConfigDigest{1, 2}, Size: 4 << 20, Part: 85,
+	}}
+	data, err := wire.Encode(e)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(wire.Decode(data)).To(Equal(e))
+}
