transport, cmd: accept, read and change configurations

The head in the store named no digest and an apply could overwrite another. Chunks are now written first and the head by CAS. A lost reply is settled by reading the head and repeating the same CAS, which also rules out that the delayed write takes effect after the answer. Drains and caps are merged into the accepted configuration by the same path.

--- a/cmd/azb-ctl/apply.go
+++ b/cmd/azb-ctl/apply.go
@@ -2,50 +2,64 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"os"
-
-	"github.com/pkg/errors"
+	"crypto/rand"
+	"os/user"
 
+	"azurebridge/protocol/operatorapi"
 	"azurebridge/protocol/planfile"
-	"azurebridge/protocol/storeapi"
 	"azurebridge/state"
 	"azurebridge/transport/platform"
 )
 
-// applyCmd writes a configuration to the store.
+// applyCmd makes files the next accepted configuration.
 type applyCmd struct {
-	Store      string `help:"Address of the store, host:port." required:""`
-	Deployment string `help:"Deployment file." required:"" type:"path"`
-	Plans      string `help:"List of plans." required:"" type:"path"`
-	Customers  string `help:"List of customers." required:"" type:"path"`
+	fileFlags
+	Base     int64    `help:"Revision that the files were made from; by default the one that the deployment file names, or 0 for a first configuration." default:"-1"`
+	Store    string   `help:"Address of the store, host:port, for a first configuration without a running instance." xor:"way" required:""`
+	Instance []string `help:"Operators' interface of an instance, host:port; may be given several times." env:"AZB_INSTANCE" xor:"way" required:""`
+	Keys     string   `help:"Folder with NAME.pem, NAME.key and authority.pem; required with --instance." env:"AZB_KEYS" type:"path"`
+	As       string   `help:"NAME of the operator's certificate." default:"operator"`
 }
 
-// Run applies the files as the next revision.
-func (a *applyCmd) Run() error {
-	cfg, err := planfile.Read(planfile.Files{Deployment: a.Deployment, Plans: a.Plans, Customers: a.Customers})
+// Run applies the files.
+func (a *applyCmd) Run(p *printer) error {
+	text, cfg, err := a.read()
 	if err != nil {
 		return err
 	}
-	ctx := context.Background()
-	client := platform.New(a.Store)
-	head, err := client.Get(ctx, platform.KeyConfigHead)
+	base := cfg.Revision
+	if a.Base >= 0 {
+		base = state.Revision(a.Base)
+	}
+	if a.Store != "" {
+		return a.toStore(p, cfg, base)
+	}
+	r := reach{Instance: a.Instance, Keys: a.Keys, As: a.As, Timeout: changeTimeout}
+	c, err := r.client()
 	if err != nil {
 		return err
 	}
-	cfg.Revision = state.Revision(head.Version + 1)
-	data, err := json.Marshal(cfg)
-	if err != nil {
-		return errors.Wrap(err, "encode configuration")
+	var accepted operatorapi.Accepted
+	if err := c.post(operatorapi.PathConfig, apply(text, base), &accepted); err != nil {
+		return err
 	}
-	r, err := client.CAS(ctx, storeapi.CASRequest{Key: platform.KeyConfigHead, Value: data, Version: head.Version})
+	return p.accepted(accepted)
+}
+
+func apply(text planfile.Text, base state.Revision) operatorapi.Apply {
+	return operatorapi.Apply{Base: base, Request: rand.Text(), Files: text}
+}
+
+// toStore writes to the store. Instances that run already get the configuration from their region's readers.
+func (a *applyCmd) toStore(p *printer, cfg *state.Config, base state.Revision) error {
+	author := "azb-ctl"
+	if u, err := user.Current(); err == nil {
+		author = u.Username
+	}
+	store := platform.NewConfigStore(platform.New(a.Store))
+	r, err := store.Accept(context.Background(), platform.Proposal{Config: cfg, Base: base, Author: author, Request: rand.Text()})
 	if err != nil {
 		return err
 	}
-	if !r.OK {
-		return errors.Errorf("apply: the configuration was changed meanwhile, version is now %d", r.Current.Version)
-	}
-	_, err = fmt.Fprintf(os.Stdout, "revision %d accepted\n", cfg.Revision)
-	return err
+	return p.accepted(operatorapi.Accepted{Revision: r.Revision})
 }
--- /dev/null
+++ b/cmd/azb-ctl/client.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/protocol/operatorapi"
+	"azurebridge/transport/identity"
+	"azurebridge/transport/platform"
+)
+
+// dialTimeout bounds the wait for a connection to one instance.
+const dialTimeout = 2 * time.Second
+
+// reach says which instances to talk to.
+type reach struct {
+	Instance []string      `help:"Operators' interface of an instance, host:port. Give it several times to try the next when one is unreachable." env:"AZB_INSTANCE" required:""`
+	Keys     string        `help:"Folder with NAME.pem, NAME.key and authority.pem." env:"AZB_KEYS" required:"" type:"path"`
+	As       string        `help:"NAME of the operator's certificate." default:"operator"`
+	Timeout  time.Duration `help:"Longest wait for one instance." default:"20s"`
+}
+
+// client calls the operators' interface.
+type client struct {
+	instances []string
+	http      *http.Client
+}
+
+func (r *reach) client() (*client, error) {
+	files := identity.Files{
+		Authority:   filepath.Join(r.Keys, identity.AuthorityCertFile),
+		Certificate: filepath.Join(r.Keys, r.As+".pem"),
+		Key:         filepath.Join(r.Keys, r.As+".key"),
+	}
+	fleet, err := identity.FleetOf(files.Certificate)
+	if err != nil {
+		return nil, &inputError{err}
+	}
+	id, err := identity.Load(fleet, files)
+	if err != nil {
+		return nil, &inputError{err}
+	}
+	return &client{instances: r.Instance, http: &http.Client{Timeout: r.Timeout, Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:     id.Client(identity.RoleInstance, "http/1.1"),
+		TLSHandshakeTimeout: dialTimeout,
+	}}}, nil
+}
+
+// get reads from the first instance that answers.
+func (c *client) get(path string, into any) error { return c.call(http.MethodGet, path, nil, into) }
+
+// post asks for a change. The body carries a request id, so that asking the next instance cannot make the change twice.
+func (c *client) post(path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "%s", path)
+	}
+	return c.call(http.MethodPost, path, data, into)
+}
+
+// call tries the instances in order until one gives a definite answer. When a change may have been sent and no instance
+// could settle it, the cause is platform.ErrUncertain.
+func (c *client) call(method, path string, body []byte, into any) error {
+	var last error
+	uncertain := false
+	for _, instance := range c.instances {
+		sent, err := c.one(method, instance, path, body, into)
+		if err == nil {
+			return nil
+		}
+		var api *operatorapi.Error
+		if errors.As(err, &api) && (api.Kind == operatorapi.ErrorInvalid || api.Kind == operatorapi.ErrorConflict) {
+			return err
+		}
+		if api != nil {
+			sent = api.Kind == operatorapi.ErrorUnknown
+		}
+		uncertain = uncertain || (sent && method == http.MethodPost)
+		last = err
+	}
+	if uncertain {
+		return errors.Wrapf(platform.ErrUncertain, "%s: %v", path, last)
+	}
+	return last
+}
+
+// one calls one instance. sent tells whether the instance may have acted on the call although there is an error.
+func (c *client) one(method, instance, path string, body []byte, into any) (sent bool, err error) {
+	wrote := false
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteHeaders: func() { wrote = true }})
+	req, err := http.NewRequestWithContext(ctx, method, "https://"+instance+path, bytes.NewReader(body))
+	if err != nil {
+		return false, &inputError{errors.Wrapf(err, "instance %s", instance)}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		// An instance acts on a request only after the handshake, so a refused certificate proves that it did not.
+		var refused tls.AlertError
+		return wrote && !errors.As(err, &refused), errors.Wrapf(err, "instance %s", instance)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, operatorapi.MaxReply))
+	if err != nil {
+		return true, errors.Wrapf(err, "instance %s: read reply", instance)
+	}
+	if resp.StatusCode != http.StatusOK {
+		api := &operatorapi.Error{}
+		if json.Unmarshal(data, api) != nil || api.Kind == "" {
+			return true, errors.Errorf("instance %s: status %d: %.200s", instance, resp.StatusCode, data)
+		}
+		return false, errors.Wrapf(api, "instance %s", instance)
+	}
+	return true, errors.Wrapf(json.Unmarshal(data, into), "instance %s: malformed reply", instance)
+}
--- /dev/null
+++ b/cmd/azb-ctl/main_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"azurebridge/protocol/operatorapi"
+	"azurebridge/transport/platform"
+)
+
+// Guards against wrong files ending with another code than 2, or without file, section and key of every problem.
+func TestWrongFilesExitWithInputCode(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"deployment.ini": "[region r]\ndomains = d\nmax_running = many\n[service s]\nkind = odd\n",
+		"plans.ini":      "[plan p]\nregions = x\n",
+		"customers.ini":  "[customer c]\nplan = q\n",
+	} {
+		g.Expect(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644)).To(Succeed())
+	}
+	var out, errOut bytes.Buffer
+	g.Expect(run([]string{"validate", "--folder", dir}, newPrinter(&out, &errOut))).To(Equal(exitInput))
+	for _, line := range []string{
+		"deployment.ini: [region r] max_running: ", "deployment.ini: [service s] kind: ",
+		"plans.ini: [plan p] regions: ", "customers.ini: [customer c] plan: ",
+	} {
+		g.Expect(errOut.String()).To(ContainSubstring(line))
+	}
+	g.Expect(run([]string{"apply", "--folder", dir, "--store", "127.0.0.1:1"}, newPrinter(&out, &errOut))).To(Equal(exitInput))
+	g.Expect(run([]string{"aply"}, newPrinter(&out, &errOut))).To(Equal(exitInput))
+	g.Expect(run([]string{"validate", "--folder", filepath.Join(dir, "none")}, newPrinter(&out, &errOut))).To(Equal(exitInput))
+}
+
+// Guards against a code that promises more than is known about a change.
+func TestExitCodes(t *testing.T) {
+	g := NewWithT(t)
+	for kind, code := range map[operatorapi.ErrorKind]int{
+		operatorapi.ErrorInvalid: exitInput, operatorapi.ErrorConflict: exitConflict,
+		operatorapi.ErrorUnavailable: exitFailed, operatorapi.ErrorUnknown: exitUnknown,
+	} {
+		g.Expect(exitCode(errors.Wrap(&operatorapi.Error{Kind: kind}, "step"))).To(Equal(code), string(kind))
+	}
+	g.Expect(exitCode(errors.Wrap(platform.ErrUncertain, "step"))).To(Equal(exitUnknown))
+	g.Expect(exitCode(errors.Wrap(platform.ErrUnavailable, "step"))).To(Equal(exitFailed))
+	g.Expect(exitCode(&platform.ConflictError{})).To(Equal(exitConflict))
+}
--- /dev/null
+++ b/cmd/azb-ctl/output.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/protocol/inifile"
+	"azurebridge/protocol/operatorapi"
+	"azurebridge/state"
+)
+
+// printer writes results and errors as tables or JSON.
+type printer struct {
+	out, err io.Writer
+	json     bool
+}
+
+func newPrinter(out, err io.Writer) *printer { return &printer{out: out, err: err} }
+
+// result prints v as JSON, or the rows as a table.
+func (p *printer) result(v any, rows func(w io.Writer)) error {
+	if p.json {
+		return p.asJSON(p.out, v)
+	}
+	w := tabwriter.NewWriter(p.out, 0, 4, 2, ' ', 0)
+	rows(w)
+	return errors.Wrap(w.Flush(), "write output")
+}
+
+func (p *printer) asJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(v), "write output")
+}
+
+// accepted prints the outcome of a change.
+func (p *printer) accepted(a operatorapi.Accepted) error {
+	return p.result(a, func(w io.Writer) {
+		if a.Unchanged {
+			fmt.Fprintf(w, "unchanged, revision %d\n", a.Revision)
+			return
+		}
+		fmt.Fprintf(w, "revision %d accepted\n", a.Revision)
+	})
+}
+
+// failure prints an error with its problems, or both sides of its conflict.
+func (p *printer) failure(err error) {
+	var api *operatorapi.Error
+	var problems inifile.Problems
+	if !errors.As(err, &api) {
+		api = &operatorapi.Error{Kind: "failed", Message: err.Error()}
+		if errors.As(err, &problems) {
+			api.Kind, api.Problems = operatorapi.ErrorInvalid, problems
+		}
+	}
+	if p.json {
+		_ = p.asJSON(p.err, api) // nothing is left to report to
+		return
+	}
+	switch {
+	case len(api.Problems) > 0:
+		fmt.Fprintln(p.err, api.Problems.Error())
+	default:
+		fmt.Fprintln(p.err, "azb-ctl: "+err.Error())
+	}
+	if c := api.Conflict; c != nil {
+		if c.BaseKnown {
+			fmt.Fprintf(p.err, "accepted since revision %d:\n", c.Base)
+			writeChanges(p.err, c.Theirs)
+			fmt.Fprintf(p.err, "yours since revision %d:\n", c.Base)
+		} else {
+			fmt.Fprintf(p.err, "revision %d is no longer kept; yours compared with revision %d:\n", c.Base, c.Accepted)
+		}
+		writeChanges(p.err, c.Yours)
+	}
+}
+
+// writeChanges prints one line for each changed entry and field.
+func writeChanges(w io.Writer, changes []state.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "  no changes")
+	}
+	for _, c := range changes {
+		fmt.Fprintf(w, "  [%s %s]\t%s\n", c.Section, c.Name, c.Change)
+		for _, f := range c.Fields {
+			fmt.Fprintf(w, "    %s\t%s -> %s\n", f.Field, oneLine(f.From), oneLine(f.To))
+		}
+	}
+}
+
+// maxShown bounds a printed value, in bytes.
+const maxShown = 120
+
+func oneLine(s string) string {
+	s = strings.ReplaceAll(s, "\n", " ")
+	if len(s) > maxShown {
+		return s[:maxShown] + "..."
+	}
+	return s
+}
--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -52,15 +52,18 @@
 		return err
 	}
 	loop = control.NewLoop(control.NewCore(self), state.MonotonicClock(), fl)
-	ops, err := operators.New(loop)
+	client := platform.New(cfg.Platform.String())
+	ops, err := operators.New(loop, platform.NewConfigStore(client))
 	if err != nil {
 		return err
 	}
+	feed := platform.NewFeed(client, loop.Offer, func() state.Revision { return loop.Snapshot().Config.Revision }, log.Named("platform"))
+	loop.SetConfigWorker(feed)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go loop.Run(ctx)
 	go fl.Run(ctx, loop.Offer)
-	feed := &platform.Feed{Client: platform.New(cfg.Platform.String()), Offer: loop.Offer, Log: log.Named("platform")}
+	go feed.DecodeConfigs(ctx)
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
 	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
--- a/transport/operators/operators.go
+++ b/transport/operators/operators.go
@@ -1,8 +1,10 @@
-// Package operators is the operators' HTTP interface of an entry instance.
+// Package operators is the operators' HTTP interface of an entry instance. The server in front of it demands a
+// certificate with the role operator.
 package operators
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -10,41 +12,132 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/control"
+	"azurebridge/protocol/inifile"
+	"azurebridge/protocol/operatorapi"
+	"azurebridge/protocol/planfile"
+	"azurebridge/state"
+	"azurebridge/transport/platform"
 )
 
-// DumpTimeout bounds the wait for the control goroutine to write a dump.
-const DumpTimeout = 2 * time.Second
+// Bounds of the interface.
+const (
+	DumpTimeout   = 2 * time.Second       // longest wait for the control goroutine
+	BusyRetry     = 20 * time.Millisecond // before an event is offered again to a full queue
+	ChangeTime    = 15 * time.Second      // longest time of a change
+	MaxMergeTries = 6                     // of a drain or cap that other changes overtake
+)
 
 // Control is what the interface needs of the control goroutine.
 type Control interface {
 	Offer(ev control.Event) error
+	Snapshot() *state.Snapshot
 }
 
 // Manager answers operators.
 type Manager struct {
 	control Control
+	store   *platform.ConfigStore
 	app     *iris.Application
 }
 
 // New returns a manager with its routes.
-func New(c Control) (*Manager, error) {
-	m := &Manager{control: c, app: iris.New()}
+func New(c Control, store *platform.ConfigStore) (*Manager, error) {
+	m := &Manager{control: c, store: store, app: iris.New()}
 	m.app.Logger().SetLevel("disable")
 	m.app.Configure(iris.WithoutStartupLog, iris.WithoutBanner, iris.WithoutInterruptHandler)
-	m.app.Get("/v1/dump", m.serveDump)
+	m.app.Get(operatorapi.PathConfig, m.serveConfig)
+	m.app.Post(operatorapi.PathConfig, m.serveApply)
+	m.app.Post(operatorapi.PathDrain, m.serveDrain)
+	m.app.Post(operatorapi.PathUndrain, m.serveUndrain)
+	m.app.Post(operatorapi.PathCap, m.serveCap)
+	m.app.Get(operatorapi.PathStatus, m.serveStatus)
+	m.app.Get(operatorapi.PathDump, m.serveDump)
 	return m, errors.Wrap(m.app.Build(), "build operators' interface")
 }
 
 // Handler returns the HTTP handler of the interface.
 func (m *Manager) Handler() http.Handler { return m.app }
 
+func answer(c iris.Context, status int, v any) {
+	c.StatusCode(status)
+	_ = c.JSON(v, iris.JSON{Indent: "  "}) // the operator may be gone
+}
+
+// fail answers with the kind that the error's cause asks for.
+func fail(c iris.Context, err error) {
+	e := &operatorapi.Error{}
+	var problems inifile.Problems
+	switch {
+	case errors.As(err, &e):
+	case errors.As(err, &problems):
+		e = &operatorapi.Error{Kind: operatorapi.ErrorInvalid, Message: "the configuration is not valid", Problems: problems}
+	case errors.Is(err, platform.ErrUncertain):
+		e = &operatorapi.Error{Kind: operatorapi.ErrorUnknown, Message: err.Error()}
+	default:
+		e = &operatorapi.Error{Kind: operatorapi.ErrorUnavailable, Message: err.Error()}
+	}
+	status := map[operatorapi.ErrorKind]int{
+		operatorapi.ErrorInvalid: http.StatusUnprocessableEntity, operatorapi.ErrorConflict: http.StatusConflict,
+		operatorapi.ErrorUnknown: http.StatusGatewayTimeout,
+	}[e.Kind]
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	answer(c, status, e)
+}
+
+func invalid(format string, args ...any) error {
+	return &operatorapi.Error{Kind: operatorapi.ErrorInvalid, Message: errors.Errorf(format, args...).Error()}
+}
+
+// read parses a bounded JSON body.
+func read(c iris.Context, limit int64, into any) error {
+	d := json.NewDecoder(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, limit))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return invalid("request body: %v", err)
+	}
+	return nil
+}
+
+// author returns the name in the operator's certificate.
+func author(r *http.Request) string {
+	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
+		return r.TLS.PeerCertificates[0].Subject.CommonName
+	}
+	return "unauthenticated"
+}
+
+func (m *Manager) serveConfig(c iris.Context) {
+	cfg := m.control.Snapshot().Config
+	answer(c, http.StatusOK, operatorapi.Config{Revision: cfg.Revision, Author: cfg.Author, Files: planfile.Write(cfg)})
+}
+
+func (m *Manager) serveStatus(c iris.Context) {
+	d, err := m.Dump(c.Request().Context())
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	s := m.control.Snapshot()
+	st := operatorapi.Status{
+		Instance: d.Self.Name, Region: d.Self.Region, Revision: d.Revision, Author: d.Config.Author, Reader: d.Config.Reader,
+		Leaving: d.Leaving, Instances: make(map[string]int), Homes: d.Homes, Loads: d.Loads,
+		Drains: s.Config.Drains, Shifts: s.Config.Shifts,
+	}
+	for _, in := range d.Instances {
+		st.Instances[string(in.Status)]++
+	}
+	answer(c, http.StatusOK, st)
+}
+
 func (m *Manager) serveDump(c iris.Context) {
 	d, err := m.Dump(c.Request().Context())
 	if err != nil {
-		c.StopWithError(http.StatusServiceUnavailable, err)
+		fail(c, err)
 		return
 	}
-	_ = c.JSON(d, iris.JSON{Indent: "  "}) // the operator may be gone
+	answer(c, http.StatusOK, d)
 }
 
 // Dump asks the control goroutine for its state.
--- /dev/null
+++ b/transport/platform/configstore.go
@@ -0,0 +1,236 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/rollout"
+	"azurebridge/protocol/configcodec"
+	"azurebridge/protocol/storeapi"
+	"azurebridge/state"
+)
+
+// Bounds of an apply.
+const (
+	SettleInterval = 200 * time.Millisecond // between attempts to settle a write whose reply was lost
+	SettleTime     = 10 * time.Second       // longest time for the whole apply, settling included
+	maxChunkTries  = 3                      // for one chunk whose reply was lost
+)
+
+// KV is what a ConfigStore needs of the store.
+type KV interface {
+	Get(ctx context.Context, key string) (storeapi.Entry, error)
+	CAS(ctx context.Context, r storeapi.CASRequest) (storeapi.CASReply, error)
+}
+
+// ConfigStore reads and accepts configurations in the store.
+type ConfigStore struct {
+	kv    KV
+	pause func(context.Context, time.Duration)
+}
+
+// NewConfigStore returns a ConfigStore on the store.
+func NewConfigStore(kv KV) *ConfigStore { return &ConfigStore{kv: kv, pause: sleep} }
+
+// ConflictError tells that another configuration was accepted since the revision that a proposal was made from. The
+// proposal was not accepted.
+type ConflictError struct {
+	Base state.Revision
+	Head configcodec.Head
+}
+
+// Error names both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the configuration was made from revision %d, but revision %d by %q has been accepted", e.Base, e.Head.Revision, e.Head.Author)
+}
+
+// Proposal is a configuration to be accepted.
+type Proposal struct {
+	Config  *state.Config
+	Base    state.Revision // that it was made from
+	InForce state.Revision // at this instance; lets a proposal succeed it after the store has lost its content
+	Author  string
+	Request string // identifies the operator's request when it is repeated; empty for none
+}
+
+// Result is an accepted configuration. Config is nil when an earlier attempt of the same request had been accepted.
+type Result struct {
+	Revision state.Revision
+	Item     rollout.Item
+	Config   *state.Config
+}
+
+// Head reads the head and its version in the store. Without a configuration the head is empty.
+func (s *ConfigStore) Head(ctx context.Context) (configcodec.Head, uint64, error) {
+	e, err := s.kv.Get(ctx, configcodec.KeyHead)
+	if err != nil || e.Version == 0 {
+		return configcodec.Head{}, 0, errors.Wrap(err, "read configuration head")
+	}
+	h, err := configcodec.DecodeHead(e.Value)
+	return h, e.Version, errors.Wrap(err, "read configuration head")
+}
+
+// Load reads the configuration that the head names. It fails when a later revision replaces it meanwhile.
+func (s *ConfigStore) Load(ctx context.Context, h configcodec.Head) (rollout.Item, *state.Config, error) {
+	digest, err := configcodec.ParseDigest(h.Digest)
+	if err != nil {
+		return rollout.Item{}, nil, errors.Wrap(err, "read configuration")
+	}
+	it := rollout.Item{Revision: h.Revision, Digest: digest}
+	for n := range h.Chunks {
+		e, err := s.kv.Get(ctx, configcodec.ChunkKey(h.Digest, n))
+		if err != nil {
+			return rollout.Item{}, nil, errors.Wrapf(err, "read configuration %d", h.Revision)
+		}
+		it.Data = append(it.Data, e.Value...)
+	}
+	c, err := configcodec.Decode(it)
+	return it, c, errors.Wrapf(err, "read configuration %d", h.Revision)
+}
+
+// Accept writes a valid configuration as the successor of p.Base. The error is a *ConflictError, or has ErrUnavailable
+// as cause when the configuration is known not to have been accepted, or ErrUncertain when that could not be settled.
+func (s *ConfigStore) Accept(ctx context.Context, p Proposal) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, SettleTime)
+	defer cancel()
+	head, version, err := s.Head(ctx)
+	if err != nil {
+		return Result{}, errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	if a, ok := head.Find(p.Request); ok {
+		return Result{Revision: a.Revision}, nil
+	}
+	if head.Revision != p.Base && !(p.Base > head.Revision && p.Base == p.InForce) {
+		return Result{}, &ConflictError{p.Base, head}
+	}
+	cfg := p.Config.Clone()
+	// The nonce makes the chunks of each attempt distinct, so that one attempt never deletes those of another.
+	cfg.Revision, cfg.Author, cfg.Nonce = p.Base+1, p.Author, rand.Text()
+	it, err := configcodec.Encode(cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	next := head.Next(it, p.Author, cfg.Nonce, p.Request)
+	if err := s.putChunks(ctx, next, it.Data); err != nil {
+		s.deleteChunks(ctx, next)
+		return Result{}, err
+	}
+	if err := s.swap(ctx, version, p.Base, next); err != nil {
+		if !errors.Is(err, ErrUncertain) {
+			s.deleteChunks(ctx, next)
+		}
+		var conflict *ConflictError
+		if errors.As(err, &conflict) {
+			if a, ok := conflict.Head.Find(p.Request); ok {
+				return Result{Revision: a.Revision}, nil
+			}
+		}
+		return Result{}, err
+	}
+	s.deleteChunks(ctx, head)
+	return Result{Revision: cfg.Revision, Item: it, Config: cfg}, nil
+}
+
+// putChunks creates the chunks. They are named by digest, so that a chunk that exists already has the same content.
+func (s *ConfigStore) putChunks(ctx context.Context, h configcodec.Head, data []byte) error {
+	for n := range h.Chunks {
+		if err := s.putChunk(ctx, configcodec.ChunkKey(h.Digest, n), configcodec.Chunk(data, n)); err != nil {
+			return errors.Wrapf(ErrUnavailable, "write configuration %d: chunk %d: %v", h.Revision, n, err)
+		}
+	}
+	return nil
+}
+
+func (s *ConfigStore) putChunk(ctx context.Context, key string, chunk []byte) error {
+	var err error
+	for range maxChunkTries {
+		var r storeapi.CASReply
+		r, err = s.kv.CAS(ctx, storeapi.CASRequest{Key: key, Value: chunk})
+		switch {
+		case err == nil && (r.OK || bytes.Equal(r.Current.Value, chunk)):
+			return nil
+		case err == nil:
+			return errors.Errorf("%s holds other content", key)
+		case !errors.Is(err, ErrUncertain) || ctx.Err() != nil:
+			return err
+		}
+		s.pause(ctx, SettleInterval)
+	}
+	return err
+}
+
+// deleteChunks removes the chunks of a configuration that is not the accepted one. Chunks that remain because the store
+// does not answer take space and do no other harm.
+func (s *ConfigStore) deleteChunks(ctx context.Context, h configcodec.Head) {
+	for n := range h.Chunks {
+		r := storeapi.CASRequest{Key: configcodec.ChunkKey(h.Digest, n), Version: 1, Delete: true}
+		if _, err := s.kv.CAS(ctx, r); err != nil {
+			return
+		}
+	}
+}
+
+// swap makes next the accepted head. After a lost reply it reads the head again, and repeats the same write while the
+// head is unchanged, so that a delayed write cannot take effect after the answer.
+func (s *ConfigStore) swap(ctx context.Context, version uint64, base state.Revision, next configcodec.Head) error {
+	value, err := configcodec.EncodeHead(next)
+	if err != nil {
+		return err
+	}
+	uncertain := false
+	for {
+		r, err := s.kv.CAS(ctx, storeapi.CASRequest{Key: configcodec.KeyHead, Value: value, Version: version})
+		switch {
+		case err == nil && r.OK:
+			return nil
+		case err == nil:
+			return verdict(r.Current, base, next)
+		case errors.Is(err, ErrUncertain):
+			uncertain = true
+		case !uncertain:
+			return errors.Wrapf(ErrUnavailable, "accept configuration %d: %v", next.Revision, err)
+		}
+		for {
+			s.pause(ctx, SettleInterval)
+			if ctx.Err() != nil {
+				return errors.Wrapf(ErrUncertain, "accept configuration %d: no reply to the write, and not settled in time", next.Revision)
+			}
+			e, err := s.kv.Get(ctx, configcodec.KeyHead)
+			if err != nil {
+				continue
+			}
+			if e.Version != version {
+				return verdict(e, base, next)
+			}
+			break
+		}
+	}
+}
+
+// verdict settles a write from a head that is not the one that the write was based on.
+func verdict(e storeapi.Entry, base state.Revision, mine configcodec.Head) error {
+	h := configcodec.Head{}
+	if e.Version > 0 {
+		var err error
+		if h, err = configcodec.DecodeHead(e.Value); err != nil {
+			return errors.Wrapf(ErrUncertain, "accept configuration %d: %v", mine.Revision, err)
+		}
+	}
+	for _, a := range h.Recent {
+		switch {
+		case a.Nonce == mine.Nonce && a.Digest == mine.Digest:
+			return nil
+		case a.Revision <= mine.Revision:
+			return &ConflictError{base, h}
+		}
+	}
+	if h.Revision > mine.Revision {
+		return errors.Wrapf(ErrUncertain, "accept configuration %d: revision %d is in force and names too few earlier ones", mine.Revision, h.Revision)
+	}
+	return &ConflictError{base, h}
+}
--- a/transport/platform/feed.go
+++ b/transport/platform/feed.go
@@ -2,69 +2,178 @@
 
 import (
 	"context"
-	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"azurebridge/coordination/control"
+	"azurebridge/coordination/rollout"
+	"azurebridge/protocol/configcodec"
 	"azurebridge/protocol/storeapi"
 	"azurebridge/state"
 )
 
-// Keys and intervals of the feed.
+// Intervals of the feed.
 const (
-	KeyConfigHead    = "config/head"
 	ListInterval     = time.Second            // between reads of the list of instances
 	RetryInterval    = 500 * time.Millisecond // after a failed call
+	MaxStartRetry    = 10 * time.Second       // between reads of the head at the start, while the store is down
 	firstListRetries = 100 * time.Millisecond
+	maxQueuedOpens   = 4 // configurations waiting to be decoded
 )
 
 // Feed passes the configuration and the list of instances from the platform to the control goroutine.
 type Feed struct {
-	Client *Client
-	Offer  func(control.Event) error
-	Log    hclog.Logger
+	client   *Client
+	store    *ConfigStore
+	offer    func(control.Event) error
+	revision func() state.Revision // in force
+	log      hclog.Logger
+	opens    chan rollout.Item
+	watching atomic.Bool
+	toggled  chan struct{} // receives after watching has changed
 }
 
-// WatchConfig passes on each accepted configuration until ctx ends.
+// NewFeed returns a feed. revision tells the revision in force, so that what is known is not read again.
+func NewFeed(client *Client, offer func(control.Event) error, revision func() state.Revision, log hclog.Logger) *Feed {
+	return &Feed{
+		client: client, store: NewConfigStore(client), offer: offer, revision: revision, log: log,
+		opens: make(chan rollout.Item, maxQueuedOpens), toggled: make(chan struct{}, 1),
+	}
+}
+
+// Open queues a configuration for decoding. When the queue is full it is dropped; the control goroutine asks again.
+func (f *Feed) Open(it rollout.Item) {
+	select {
+	case f.opens <- it:
+	default:
+	}
+}
+
+// Watch says whether this instance watches the store.
+func (f *Feed) Watch(on bool) {
+	if f.watching.Swap(on) == on {
+		return
+	}
+	select {
+	case f.toggled <- struct{}{}:
+	default:
+	}
+}
+
+// DecodeConfigs decodes configurations that instances sent until ctx ends.
+func (f *Feed) DecodeConfigs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case it := <-f.opens:
+			var ev control.Event
+			c, err := configcodec.Decode(it)
+			if err != nil {
+				f.log.Error("received configuration cannot be decoded", "revision", it.Revision, "error", err)
+				ev = control.Undecodable{Digest: it.Digest}
+			} else {
+				ev = control.Configured{Config: c, Item: it}
+			}
+			_ = f.offer(ev) // when the queue is full, the control goroutine hands the item out again
+		}
+	}
+}
+
+// WatchConfig reads the configuration once at the start, and passes on each accepted configuration while this instance
+// is one of the readers, until ctx ends.
 func (f *Feed) WatchConfig(ctx context.Context) {
+	f.readOnce(ctx)
 	var seen uint64
+	for ctx.Err() == nil {
+		if !f.watching.Load() {
+			select {
+			case <-ctx.Done():
+			case <-f.toggled:
+			}
+			continue
+		}
+		watchCtx, cancel := context.WithCancel(ctx)
+		done := make(chan uint64, 1)
+		go func() { done <- f.watch(watchCtx, seen) }()
+		for f.watching.Load() && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-f.toggled:
+			}
+		}
+		cancel()
+		seen = <-done
+	}
+}
+
+// readOnce reads the configuration at the start. It gives up once an instance has sent one.
+func (f *Feed) readOnce(ctx context.Context) {
+	for wait := RetryInterval; ctx.Err() == nil; wait = min(2*wait, MaxStartRetry) {
+		h, _, err := f.store.Head(ctx)
+		if err == nil {
+			err = f.load(ctx, h)
+		}
+		if err == nil || f.revision() > 0 || f.watching.Load() {
+			return
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// watch passes on accepted configurations until ctx ends. It returns the last version of the head that it has seen.
+func (f *Feed) watch(ctx context.Context, seen uint64) uint64 {
 	healthy := true
 	for ctx.Err() == nil {
-		e, err := f.Client.Watch(ctx, KeyConfigHead, seen)
-		if err == nil && e.Version > seen {
-			err = f.pass(e)
+		e, err := f.client.Watch(ctx, configcodec.KeyHead, seen)
+		// A version below seen means that the store has lost its content.
+		if err == nil && e.Version != seen && e.Version > 0 {
+			err = f.pass(ctx, e.Value)
 		}
 		if err != nil {
 			if healthy && ctx.Err() == nil {
-				f.Log.Warn("configuration watch failed", "error", err)
+				f.log.Warn("configuration watch failed", "error", err)
 			}
 			healthy = false
 			sleep(ctx, RetryInterval)
 			continue
 		}
 		if !healthy {
-			f.Log.Info("configuration watch works again")
+			f.log.Info("configuration watch works again")
 		}
 		healthy, seen = true, e.Version
 	}
+	return seen
 }
 
-func (f *Feed) pass(e storeapi.Entry) error {
-	var c state.Config
-	if err := json.Unmarshal(e.Value, &c); err != nil {
+func (f *Feed) pass(ctx context.Context, value []byte) error {
+	h, err := configcodec.DecodeHead(value)
+	if err != nil {
+		return err
+	}
+	return f.load(ctx, h)
+}
+
+// load reads the configuration of a head unless it is already in force.
+func (f *Feed) load(ctx context.Context, h configcodec.Head) error {
+	if h.Revision <= f.revision() {
+		return nil
+	}
+	it, c, err := f.store.Load(ctx, h)
+	if err != nil {
 		return err
 	}
-	return f.Offer(control.Configured{Config: &c})
+	return f.offer(control.Configured{Config: c, Item: it})
 }
 
 // WatchInstances passes on the list of instances until ctx ends.
 func (f *Feed) WatchInstances(ctx context.Context) {
 	wait := firstListRetries
 	for ctx.Err() == nil {
-		list, err := f.Client.Instances(ctx)
-		if err == nil && f.Offer(control.Listed{Instances: convert(list)}) == nil {
+		list, err := f.client.Instances(ctx)
+		if err == nil && f.offer(control.Listed{Instances: convert(list)}) == nil {
 			wait = ListInterval
 		}
 		sleep(ctx, wait)
