cmd/azb-ctl: tell a refused certificate from an unknown outcome

A certificate without the role operator ended with exit code 4, because with TLS 1.3 the request may be written before the instance refuses the certificate. A conflict of files that name no revision printed the whole configuration twice; it now compares with the accepted one, and tables are bounded.

--- a/cmd/azb-ctl/client.go
+++ b/cmd/azb-ctl/client.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,9 +106,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		// An instance acts on a request only after the handshake, so a refused certificate proves that it did not.
-		var refused tls.AlertError
-		return wrote && !errors.As(err, &refused), errors.Wrapf(err, "instance %s", instance)
+		return wrote && !certificateRefused(err), errors.Wrapf(err, "instance %s", instance)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, operatorapi.MaxReply))
@@ -124,3 +122,11 @@
 	}
 	return true, errors.Wrapf(json.Unmarshal(data, into), "instance %s: malformed reply", instance)
 }
+
+// certificateRefused reports whether the instance ended the handshake because of the certificate. With TLS 1.3 the
+// client may have sent its request by then, but an instance acts on a request only after the handshake. The alert has
+// no exported type.
+func certificateRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "remote error" && strings.Contains(op.Err.Error(), "certificate")
+}
--- a/cmd/azb-ctl/output.go
+++ b/cmd/azb-ctl/output.go
@@ -69,16 +69,22 @@
 	default:
 		fmt.Fprintln(p.err, "azb-ctl: "+err.Error())
 	}
-	if c := api.Conflict; c != nil {
-		if c.BaseKnown {
-			fmt.Fprintf(p.err, "accepted since revision %d:\n", c.Base)
-			writeChanges(p.err, c.Theirs)
-			fmt.Fprintf(p.err, "yours since revision %d:\n", c.Base)
-		} else {
-			fmt.Fprintf(p.err, "revision %d is no longer kept; yours compared with revision %d:\n", c.Base, c.Accepted)
-		}
-		writeChanges(p.err, c.Yours)
+	if api.Conflict != nil {
+		w := tabwriter.NewWriter(p.err, 0, 4, 2, ' ', 0)
+		writeConflict(w, api.Conflict)
+		_ = w.Flush() // nothing is left to report to
+	}
+}
+
+func writeConflict(w io.Writer, c *operatorapi.Conflict) {
+	if c.BaseKnown {
+		fmt.Fprintf(w, "accepted since revision %d:\n", c.Base)
+		writeChanges(w, c.Theirs)
+		fmt.Fprintf(w, "yours since revision %d:\n", c.Base)
+	} else {
+		fmt.Fprintf(w, "the instance does not keep revision %d; yours compared with revision %d:\n", c.Base, c.Accepted)
 	}
+	writeChanges(w, c.Yours)
 }
 
 // writeChanges prints one line for each changed entry and field.
@@ -86,7 +92,11 @@
 	if len(changes) == 0 {
 		fmt.Fprintln(w, "  no changes")
 	}
-	for _, c := range changes {
+	for i, c := range changes {
+		if i == maxListed {
+			fmt.Fprintf(w, "  and %d more entries; --output json lists all\n", len(changes)-i)
+			return
+		}
 		fmt.Fprintf(w, "  [%s %s]\t%s\n", c.Section, c.Name, c.Change)
 		for _, f := range c.Fields {
 			fmt.Fprintf(w, "    %s\t%s -> %s\n", f.Field, oneLine(f.From), oneLine(f.To))
@@ -94,8 +104,11 @@
 	}
 }
 
-// maxShown bounds a printed value, in bytes.
-const maxShown = 120
+// Bounds of what a table shows; JSON output has everything.
+const (
+	maxShown  = 120 // bytes of a value
+	maxListed = 50  // changed entries
+)
 
 func oneLine(s string) string {
 	s = strings.ReplaceAll(s, "\n", " ")
--- a/transport/operators/change.go
+++ b/transport/operators/change.go
@@ -138,14 +138,14 @@
 	for try := 1; ; try++ {
 		head, _, err := m.store.Head(ctx)
 		if err != nil {
-			return operatorapi.Accepted{}, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+			return operatorapi.Accepted{}, err
 		}
 		if a, ok := head.Find(ch.request); ok {
 			return operatorapi.Accepted{Revision: a.Revision}, nil
 		}
 		old, err := m.accepted(ctx, head)
 		if err != nil {
-			return operatorapi.Accepted{}, errors.Wrapf(platform.ErrUnavailable, "%v", err)
+			return operatorapi.Accepted{}, err
 		}
 		cfg := old.Clone()
 		if err := ch.mutate(cfg); err != nil {
@@ -225,11 +225,8 @@
 	return result
 }
 
-// recall returns an earlier configuration. It fails when this instance keeps it no more.
+// recall returns an earlier configuration. It fails when this instance does not keep it.
 func (m *Manager) recall(ctx context.Context, r state.Revision) (*state.Config, error) {
-	if r == 0 {
-		return &state.Config{}, nil
-	}
 	type found struct {
 		it    rollout.Item
 		known bool
@@ -241,7 +238,7 @@
 	select {
 	case f := <-done:
 		if !f.known {
-			return nil, errors.Errorf("recall configuration %d: no longer kept", r)
+			return nil, errors.Errorf("recall configuration %d: not kept", r)
 		}
 		return configcodec.Decode(f.it)
 	case <-ctx.Done():
--- a/transport/platform/configstore.go
+++ b/transport/platform/configstore.go
@@ -93,14 +93,14 @@
 	return it, c, errors.Wrapf(err, "read configuration %d", h.Revision)
 }
 
-// Accept writes a valid configuration as the successor of p.Base. The error is a *ConflictError, or has ErrUnavailable
-// as cause when the configuration is known not to have been accepted, or ErrUncertain when that could not be settled.
+// Accept writes a valid configuration as the successor of p.Base. The error is a *ConflictError, or has ErrUncertain
+// as cause when it could not be settled whether the configuration was accepted; after any other error it was not.
 func (s *ConfigStore) Accept(ctx context.Context, p Proposal) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, SettleTime)
 	defer cancel()
 	head, version, err := s.Head(ctx)
 	if err != nil {
-		return Result{}, errors.Wrapf(ErrUnavailable, "%v", err)
+		return Result{}, err
 	}
 	if a, ok := head.Find(p.Request); ok {
 		return Result{Revision: a.Revision}, nil
@@ -140,6 +140,7 @@
 func (s *ConfigStore) putChunks(ctx context.Context, h configcodec.Head, data []byte) error {
 	for n := range h.Chunks {
 		if err := s.putChunk(ctx, configcodec.ChunkKey(h.Digest, n), configcodec.Chunk(data, n)); err != nil {
+			// Not ErrUncertain: without the head, a chunk that may have been written has no effect.
 			return errors.Wrapf(ErrUnavailable, "write configuration %d: chunk %d: %v", h.Revision, n, err)
 		}
 	}
@@ -193,7 +194,7 @@
 		case errors.Is(err, ErrUncertain):
 			uncertain = true
 		case !uncertain:
-			return errors.Wrapf(ErrUnavailable, "accept configuration %d: %v", next.Revision, err)
+			return errors.Wrapf(err, "accept configuration %d", next.Revision)
 		}
 		for {
 			s.pause(ctx, SettleInterval)
--- a/transport/platform/configstore_test.go
+++ b/transport/platform/configstore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +109,32 @@
 	}
 }
 
+// Guards against a configuration of several chunks that is cut, and against giving up at one lost reply.
+func TestAcceptWritesChunks(t *testing.T) {
+	g := NewWithT(t)
+	kv := newFakeKV()
+	p := proposal(0, "x")
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 20000 {
+		name := fmt.Sprintf("%016x%016x%016x", random.Uint64(), random.Uint64(), random.Uint64())
+		p.Config.Customers = append(p.Config.Customers, state.Customer{Name: state.CustomerName(name), Plan: "p"})
+	}
+	lost := 1
+	kv.after = func(r storeapi.CASRequest) error {
+		if lost--; lost == 0 {
+			return ErrUncertain
+		}
+		return nil
+	}
+	s := newTestStore(kv, nil)
+	r, err := s.Accept(context.Background(), p)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(kv.chunks()).To(BeNumerically(">", 1))
+	it, _, err := s.Load(context.Background(), kv.head())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(it.Digest).To(Equal(r.Item.Digest))
+}
+
 // Guards against one of two concurrent applies overwriting the other, and against a repeated request running twice.
 func TestAcceptReportsConflictAndRepeat(t *testing.T) {
 	g := NewWithT(t)
