--- a/cmd/azb-ctl/apply.go
+++ b/cmd/azb-ctl/apply.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"os/user"
 
+	"github.com/pkg/errors"
+
 	"azurebridge/protocol/operatorapi"
 	"azurebridge/protocol/planfile"
 	"azurebridge/state"
@@ -15,8 +17,8 @@
 type applyCmd struct {
 	fileFlags
 	Base     int64    `help:"Revision that the files were made from; by default the one that the deployment file names, or 0 for a first configuration." default:"-1"`
-	Store    string   `help:"Address of the store, host:port, for a first configuration without a running instance." xor:"way" required:""`
-	Instance []string `help:"Operators' interface of an instance, host:port; may be given several times." env:"AZB_INSTANCE" xor:"way" required:""`
+	Store    string   `help:"Address of the store, host:port, for a first configuration without a running instance; takes precedence over --instance."`
+	Instance []string `help:"Operators' interface of an instance, host:port; may be given several times." env:"AZB_INSTANCE"`
 	Keys     string   `help:"Folder with NAME.pem, NAME.key and authority.pem; required with --instance." env:"AZB_KEYS" type:"path"`
 	As       string   `help:"NAME of the operator's certificate." default:"operator"`
 }
@@ -34,6 +36,9 @@
 	if a.Store != "" {
 		return a.toStore(p, cfg, base)
 	}
+	if len(a.Instance) == 0 || a.Keys == "" {
+		return &inputError{errors.New("apply needs --instance with --keys, or --store")}
+	}
 	r := reach{Instance: a.Instance, Keys: a.Keys, As: a.As, Timeout: changeTimeout}
 	c, err := r.client()
 	if err != nil {
