transport/operators: let concurrent drains and caps wait a random time

Of 20 drains at 20 instances at once, 13 were accepted, 5 gave up after 6 tries as conflicts and 2 failed because the configuration that they read was replaced meanwhile.

--- a/transport/operators/change.go
+++ b/transport/operators/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -130,45 +131,50 @@
 	return nil
 }
 
-// merge applies a change to the accepted configuration, again when another change comes first.
+// merge applies a change to the accepted configuration, again when another change comes first. The wait before each try
+// is random, so that changes at several instances do not keep overtaking each other.
 func (m *Manager) merge(ctx context.Context, ch change) (operatorapi.Accepted, error) {
 	if err := checkRequest(ch.request); err != nil {
 		return operatorapi.Accepted{}, err
 	}
 	for try := 1; ; try++ {
-		head, _, err := m.store.Head(ctx)
-		if err != nil {
-			return operatorapi.Accepted{}, err
-		}
-		if a, ok := head.Find(ch.request); ok {
-			return operatorapi.Accepted{Revision: a.Revision}, nil
-		}
-		old, err := m.accepted(ctx, head)
-		if err != nil {
-			return operatorapi.Accepted{}, err
-		}
-		cfg := old.Clone()
-		if err := ch.mutate(cfg); err != nil {
-			return operatorapi.Accepted{}, err
-		}
-		if len(state.Diff(old, cfg)) == 0 {
-			return operatorapi.Accepted{Revision: old.Revision, Unchanged: true}, nil
-		}
-		if err := validate(cfg); err != nil {
-			return operatorapi.Accepted{}, err
-		}
-		r, err := m.accept(ctx, platform.Proposal{Config: cfg, Base: old.Revision, Author: ch.author, Request: ch.request})
+		a, err := m.mergeOnce(ctx, ch)
 		var conflict *platform.ConflictError
-		switch {
-		case errors.As(err, &conflict) && try < MaxMergeTries:
-			continue
-		case errors.As(err, &conflict):
-			return operatorapi.Accepted{}, &operatorapi.Error{Kind: operatorapi.ErrorConflict, Message: err.Error()}
-		case err != nil:
-			return operatorapi.Accepted{}, err
+		overtaken := errors.As(err, &conflict)
+		if !overtaken && !errors.Is(err, platform.ErrReplaced) {
+			return a, err
 		}
-		return operatorapi.Accepted{Revision: r.Revision}, nil
+		if try == MaxMergeTries || ctx.Err() != nil {
+			return a, &operatorapi.Error{Kind: operatorapi.ErrorConflict, Message: err.Error()}
+		}
+		time.Sleep(rand.N(min(MergeWait<<try, MaxMergeWait)))
+	}
+}
+
+func (m *Manager) mergeOnce(ctx context.Context, ch change) (operatorapi.Accepted, error) {
+	head, _, err := m.store.Head(ctx)
+	if err != nil {
+		return operatorapi.Accepted{}, err
+	}
+	if a, ok := head.Find(ch.request); ok {
+		return operatorapi.Accepted{Revision: a.Revision}, nil
+	}
+	old, err := m.accepted(ctx, head)
+	if err != nil {
+		return operatorapi.Accepted{}, err
+	}
+	cfg := old.Clone()
+	if err := ch.mutate(cfg); err != nil {
+		return operatorapi.Accepted{}, err
+	}
+	if len(state.Diff(old, cfg)) == 0 {
+		return operatorapi.Accepted{Revision: old.Revision, Unchanged: true}, nil
+	}
+	if err := validate(cfg); err != nil {
+		return operatorapi.Accepted{}, err
 	}
+	r, err := m.accept(ctx, platform.Proposal{Config: cfg, Base: old.Revision, Author: ch.author, Request: ch.request})
+	return operatorapi.Accepted{Revision: r.Revision}, err
 }
 
 // validate returns the faults as problems of the files that the configuration would be written to.
--- a/transport/operators/operators.go
+++ b/transport/operators/operators.go
@@ -24,7 +24,9 @@
 	DumpTimeout   = 2 * time.Second       // longest wait for the control goroutine
 	BusyRetry     = 20 * time.Millisecond // before an event is offered again to a full queue
 	ChangeTime    = 15 * time.Second      // longest time of a change
-	MaxMergeTries = 6                     // of a drain or cap that other changes overtake
+	MaxMergeTries = 30                    // of a drain or cap that other changes overtake
+	MergeWait     = 5 * time.Millisecond  // before the second try of a change, at most; doubles with each try
+	MaxMergeWait  = 320 * time.Millisecond
 )
 
 // Control is what the interface needs of the control goroutine.
--- a/transport/platform/configstore.go
+++ b/transport/platform/configstore.go
@@ -37,6 +37,9 @@
 // NewConfigStore returns a ConfigStore on the store.
 func NewConfigStore(kv KV) *ConfigStore { return &ConfigStore{kv: kv, pause: sleep} }
 
+// ErrReplaced is the cause when a later revision replaced a configuration while it was read.
+var ErrReplaced = errors.New("a later configuration has replaced it")
+
 // ConflictError tells that another configuration was accepted since the revision that a proposal was made from. The
 // proposal was not accepted.
 type ConflictError struct {
@@ -75,7 +78,7 @@
 	return h, e.Version, errors.Wrap(err, "read configuration head")
 }
 
-// Load reads the configuration that the head names. It fails when a later revision replaces it meanwhile.
+// Load reads the configuration that the head names. The cause is ErrReplaced when a later revision replaces it meanwhile.
 func (s *ConfigStore) Load(ctx context.Context, h configcodec.Head) (rollout.Item, *state.Config, error) {
 	digest, err := configcodec.ParseDigest(h.Digest)
 	if err != nil {
@@ -87,6 +90,9 @@
 		if err != nil {
 			return rollout.Item{}, nil, errors.Wrapf(err, "read configuration %d", h.Revision)
 		}
+		if e.Version == 0 {
+			return rollout.Item{}, nil, errors.Wrapf(ErrReplaced, "read configuration %d: chunk %d is missing", h.Revision, n)
+		}
 		it.Data = append(it.Data, e.Value...)
 	}
 	c, err := configcodec.Decode(it)
--- a/transport/platform/configstore_test.go
+++ b/transport/platform/configstore_test.go
@@ -95,6 +95,7 @@
 	g := NewWithT(t)
 	kv := newFakeKV()
 	s := newTestStore(kv, nil)
+	var last configcodec.Head
 	for i, name := range []state.CustomerName{"x", "y", "z"} {
 		r, err := s.Accept(context.Background(), proposal(state.Revision(i), name))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -106,6 +107,11 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(it).To(Equal(r.Item))
 		g.Expect(c).To(Equal(r.Config))
+		if last.Revision > 0 {
+			_, _, err = s.Load(context.Background(), last)
+			g.Expect(err).To(MatchError(ErrReplaced))
+		}
+		last = h
 	}
 }
 
