--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -18,10 +19,8 @@
 
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
 	}
 	os.Exit(m.Run())
 }
--- a/protocol/planfile/planfile_test.go
+++ b/protocol/planfile/planfile_test.go
@@ -1,6 +1,7 @@
 package planfile_test
 
 import (
+	stderrors "errors"
 	"flag"
 	"fmt"
 	"net/netip"
@@ -19,10 +20,8 @@
 
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+	if err := stderrors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
 	}
 	os.Exit(m.Run())
 }
