coordination/rollout: offer to the members of a region in turn

An instance that restarted during an outage of the platform was offered the configuration by a random peer each second, and once waited 6.4 s.

--- a/coordination/rollout/core.go
+++ b/coordination/rollout/core.go
@@ -22,6 +22,7 @@
 	rejected map[Digest]bool
 	started  bool // the instances to ask at the start are known and were asked
 	offerAt  state.Instant
+	turn     int // counts the members of the own region that were offered to
 	random   *rand.Rand
 	out      []Outbound
 	opens    []Item
@@ -31,9 +32,10 @@
 // New returns the rollout of an instance that has no configuration.
 func New(self state.Instance) *Core {
 	seed := state.RendezvousScore("rollout", string(self.Name))
+	random := rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))
 	return &Core{
 		self: self, members: newMembers(self, nil), rejected: make(map[Digest]bool),
-		random: rand.New(rand.NewPCG(seed, uint64(self.Incarnation))),
+		random: random, turn: int(random.Uint32() >> 1),
 	}
 }
 
@@ -183,12 +185,16 @@
 	c.offerSome()
 }
 
-// offerSome offers the current revision on a few links, which repairs lost messages: to a reader and another member of
-// the own region, and to a reader of another region. The other member may be one that seems dead: it may have restarted
-// while the list of instances is not served, and then learns of its peers only through such an offer.
+// offerSome offers the current revision on a few links, which repairs lost messages: to a reader of the own region, to
+// other members of it in turn, and to a reader of another region. The members include those that seem dead: one may have
+// restarted while the list of instances is not served, and then learns of its peers only through such an offer.
 func (c *Core) offerSome() {
 	c.offerOne(c.members.readers(c.self.Region))
-	c.offerOne(c.members.all)
+	all := c.members.all
+	for range min(OffersInRegion, len(all)) {
+		c.turn++
+		c.introduce(all[c.turn%len(all)])
+	}
 	if n := len(c.members.regions); n > 1 {
 		r := c.members.regions[c.random.IntN(n)]
 		if r != c.self.Region {
@@ -202,13 +208,16 @@
 	if len(names) == 0 {
 		return
 	}
-	name := names[c.random.IntN(len(names))]
-	if name == c.self.Name {
-		return
+	if name := names[c.random.IntN(len(names))]; name != c.self.Name {
+		c.introduce(name)
 	}
+}
+
+// introduce offers the current revision together with who this instance is.
+func (c *Core) introduce(to state.InstanceName) {
 	o, self := c.currentOffer(), c.self
 	o.Sender = &self
-	c.send(name, o)
+	c.send(to, o)
 	c.Stats.Offered++
 }
 
