state/blocks: map client blocks to sites in an immutable table

Ranges in segments of 256 entries without a pointer per block; a change copies the segments that it touches.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,4 @@
-BINARIES := azb-entry azb-ctl azb-standin azb-load
-
-.PHONY: build test lint run bench model fuzz clean
+.PHONY: build test lint run bench model fuzz prove clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,5 +15,18 @@
 run: build
 	@DEPLOYMENT="$(DEPLOYMENT)" DURATION="$(DURATION)" scripts/run.sh
 
+# model checks the specifications in model/ with spin (Debian's package spin).
+model:
+	scripts/model.sh
+
+# fuzz runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	scripts/fuzz.sh $(FUZZTIME)
+
+# prove runs the property tests with many more cases and a new seed, which it prints.
+prove:
+	scripts/prove.sh
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/state/blocks/blocks.go
@@ -0,0 +1,91 @@
+// Package blocks maps client addresses to sites.
+//
+// A Table is immutable: traffic goroutines read it without locks while a successor is made. It holds no pointer per
+// block: a block of IPv4 addresses takes 6 bytes, one of IPv6 addresses 10.
+package blocks
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// Site numbers a site. NoSite marks addresses that belong to none.
+type Site uint16
+
+// NoSite is the site of addresses outside all blocks.
+const NoSite Site = 0
+
+// Bounds of a table.
+const (
+	MaxBlocks      = 4 << 20 // boundaries of one address family
+	maxV6Bits      = 64      // longer IPv6 prefixes are refused: clients move within their /64
+	segmentEntries = 256     // entries of a full segment; a change copies one segment and the index of segments
+)
+
+// ErrTooLarge tells that a change would exceed MaxBlocks.
+var ErrTooLarge = errors.New("too many client blocks")
+
+// Block assigns a block of addresses to a site.
+type Block struct {
+	Prefix netip.Prefix
+	Site   Site // NoSite removes the block
+}
+
+// Table is the map of both address families.
+type Table struct {
+	v4 ranges[uint32]
+	v6 ranges[uint64]
+}
+
+// New returns a table without blocks.
+func New() *Table {
+	return &Table{v4: emptyRanges[uint32](), v6: emptyRanges[uint64]()}
+}
+
+// Lookup returns the site of an address. It does not allocate.
+func (t *Table) Lookup(a netip.Addr) Site {
+	if a.Is4() || a.Is4In6() {
+		b := a.As4()
+		return t.v4.lookup(binary.BigEndian.Uint32(b[:]))
+	}
+	b := a.As16()
+	return t.v6.lookup(binary.BigEndian.Uint64(b[:8]))
+}
+
+// Len returns the number of ranges of equal site, over both address families.
+func (t *Table) Len() int { return t.v4.size + t.v6.size }
+
+// Bytes returns the memory of the entries, in bytes.
+func (t *Table) Bytes() int { return t.v4.bytes(4) + t.v6.bytes(8) }
+
+// With returns a table in which the changes are carried out in order: a later block overrides the part of an earlier one
+// that it covers. The receiver stays as it is. Segments without a change are shared.
+func (t *Table) With(changes []Block) (*Table, error) {
+	n := *t
+	var v4 []span[uint32]
+	var v6 []span[uint64]
+	for _, c := range changes {
+		p := c.Prefix.Masked()
+		switch {
+		case !p.IsValid():
+			return nil, errors.Errorf("client block %q is not valid", c.Prefix)
+		case p.Addr().Is4():
+			b := p.Addr().As4()
+			first := binary.BigEndian.Uint32(b[:])
+			v4 = append(v4, span[uint32]{first, first | ^uint32(0)>>p.Bits(), c.Site})
+		case p.Bits() > maxV6Bits:
+			return nil, errors.Errorf("client block %s is longer than /%d", p, maxV6Bits)
+		default:
+			b := p.Addr().As16()
+			first := binary.BigEndian.Uint64(b[:8])
+			v6 = append(v6, span[uint64]{first, first | ^uint64(0)>>p.Bits(), c.Site})
+		}
+	}
+	n.v4, n.v6 = n.v4.with(v4), n.v6.with(v6)
+	if n.v4.size > MaxBlocks || n.v6.size > MaxBlocks {
+		return nil, ErrTooLarge
+	}
+	return &n, nil
+}
--- /dev/null
+++ b/state/blocks/ranges.go
@@ -0,0 +1,269 @@
+package blocks
+
+import (
+	"slices"
+	"sort"
+)
+
+// key is the part of an address that selects a site.
+type key interface{ uint32 | uint64 }
+
+// span assigns the keys from first to last, both included, to a site.
+type span[K key] struct {
+	first, last K
+	site        Site
+}
+
+// segment is a run of ranges in order. Entry i covers the keys from starts[i] to the next start, exclusive. It is
+// never changed once it is part of a table.
+type segment[K key] struct {
+	starts []K
+	sites  []Site
+}
+
+// ranges covers all keys. Neighbouring ranges have different sites, except across the border of two segments.
+type ranges[K key] struct {
+	hints    []uint32 // by the top hintBits of a key: last segment that starts at or before the first such key
+	firsts   []K      // first start of each segment; firsts[0] is 0
+	segments []segment[K]
+	size     int // entries of all segments
+}
+
+func emptyRanges[K key]() ranges[K] {
+	r := ranges[K]{firsts: []K{0}, segments: []segment[K]{{starts: []K{0}, sites: []Site{NoSite}}}, size: 1}
+	r.index()
+	return r
+}
+
+// hintBits is the number of leading bits of a key that choose a hint. The hints of one table take 16 KB, which stay in
+// the processor's cache, and replace most steps of the search for the segment.
+const hintBits = 12
+
+// shift returns how far a key is shifted to leave its hintBits leading bits.
+func shift[K key]() int {
+	if uint64(^K(0)) == uint64(^uint32(0)) {
+		return 32 - hintBits
+	}
+	return 64 - hintBits
+}
+
+// index computes the hints.
+func (r *ranges[K]) index() {
+	r.hints = make([]uint32, 1<<hintBits+1)
+	at := 0
+	for h := range 1 << hintBits {
+		for at+1 < len(r.firsts) && r.firsts[at+1] <= K(h)<<shift[K]() {
+			at++
+		}
+		r.hints[h] = uint32(at)
+	}
+	r.hints[1<<hintBits] = uint32(len(r.firsts) - 1)
+}
+
+func (r *ranges[K]) lookup(k K) Site {
+	h := k >> shift[K]()
+	low, high := int(r.hints[h]), int(r.hints[h+1])
+	s := &r.segments[low+last(r.firsts[low:high+1], k)]
+	return s.sites[last(s.starts, k)]
+}
+
+// last returns the index of the last element that is at most k. list[0] must be at most k.
+func last[K key](list []K, k K) int {
+	low, n := 0, len(list)
+	for n > 1 {
+		half := n / 2
+		next := low
+		if list[low+half] <= k {
+			next = low + half // compiles to a conditional move; a branch would be mispredicted half of the time
+		}
+		low = next
+		n -= half
+	}
+	return low
+}
+
+func (r *ranges[K]) bytes(keyBytes int) int {
+	const siteBytes = 2
+	n := 0
+	for _, s := range r.segments {
+		n += cap(s.starts)*keyBytes + cap(s.sites)*siteBytes
+	}
+	return n
+}
+
+// with carries out the changes. Changes that touch the same run of segments are merged in one pass over it.
+func (r ranges[K]) with(changes []span[K]) ranges[K] {
+	if len(changes) == 0 {
+		return r
+	}
+	flat := flatten(changes)
+	out := ranges[K]{firsts: make([]K, 0, len(r.firsts)+1), segments: make([]segment[K], 0, len(r.segments)+1)}
+	for i := 0; i < len(r.segments); {
+		j, used := r.touched(i, flat)
+		if used == 0 {
+			out.add(r.segments[i])
+			i++
+			continue
+		}
+		for _, s := range overlay(r.segments[i:j], flat[:used]) {
+			out.add(s)
+		}
+		// A span that reaches past segment j-1 was taken with it, because touched extends j until it does not.
+		flat = flat[used:]
+		i = j
+	}
+	out.index()
+	return out
+}
+
+// touched returns the end of the run of segments, starting at i, that the first spans change, and the number of these
+// spans. It returns 0 spans when segment i stays as it is.
+func (r *ranges[K]) touched(i int, flat []span[K]) (end, used int) {
+	end = i + 1
+	for used < len(flat) && (end == len(r.firsts) || flat[used].first < r.firsts[end]) {
+		for end < len(r.firsts) && flat[used].last >= r.firsts[end] {
+			end++
+		}
+		used++
+	}
+	return end, used
+}
+
+func (r *ranges[K]) add(s segment[K]) {
+	r.firsts = append(r.firsts, s.starts[0])
+	r.segments = append(r.segments, s)
+	r.size += len(s.starts)
+}
+
+// flatten turns spans, of which later ones override earlier ones, into disjoint spans in order.
+func flatten[K key](changes []span[K]) []span[K] {
+	if disjoint(changes) {
+		return changes
+	}
+	var borders []K
+	for _, c := range changes {
+		borders = append(borders, c.first)
+		if c.last+1 != 0 {
+			borders = append(borders, c.last+1)
+		}
+	}
+	slices.Sort(borders)
+	borders = slices.Compact(borders)
+	owner := make([]int, len(borders)) // index of the change that covers the piece, plus 1
+	next := newSkip(len(borders))
+	for i := len(changes) - 1; i >= 0; i-- {
+		from := sort.Search(len(borders), func(b int) bool { return borders[b] >= changes[i].first })
+		for b := next.find(from); b < len(borders) && borders[b] <= changes[i].last; b = next.find(b) {
+			owner[b] = i + 1
+			next.take(b)
+		}
+	}
+	var out []span[K]
+	for b, o := range owner {
+		if o == 0 {
+			continue
+		}
+		end := changes[o-1].last
+		if b+1 < len(borders) && borders[b+1]-1 < end {
+			end = borders[b+1] - 1
+		}
+		out = append(out, span[K]{borders[b], end, changes[o-1].site})
+	}
+	return out
+}
+
+// disjoint reports whether the spans are in order and do not overlap, as those of a bulk transfer are.
+func disjoint[K key](list []span[K]) bool {
+	for i := 1; i < len(list); i++ {
+		if list[i].first <= list[i-1].last {
+			return false
+		}
+	}
+	return true
+}
+
+// skip finds the next index that has not been taken, in nearly constant time (union-find with path halving).
+type skip []int
+
+func newSkip(n int) skip {
+	s := make(skip, n+1)
+	for i := range s {
+		s[i] = i
+	}
+	return s
+}
+
+func (s skip) find(i int) int {
+	for s[i] != i {
+		s[i] = s[s[i]]
+		i = s[i]
+	}
+	return i
+}
+
+func (s skip) take(i int) { s[i] = i + 1 }
+
+// overlay lays disjoint spans over a run of segments and returns new segments of bounded size.
+func overlay[K key](old []segment[K], spans []span[K]) []segment[K] {
+	b := builder[K]{}
+	at := 0 // next span
+	for si, s := range old {
+		for i, start := range s.starts {
+			end, bounded := endOf(old, si, i)
+			k := start
+			for {
+				for at < len(spans) && spans[at].last < k {
+					at++
+				}
+				if at == len(spans) || (bounded && spans[at].first >= end) {
+					b.add(k, s.sites[i])
+					break
+				}
+				if spans[at].first > k {
+					b.add(k, s.sites[i])
+				}
+				b.add(max(k, spans[at].first), spans[at].site)
+				if spans[at].last+1 == 0 || (bounded && spans[at].last+1 >= end) {
+					break
+				}
+				k = spans[at].last + 1
+			}
+		}
+	}
+	return b.finish()
+}
+
+// endOf returns the first key after entry i of segment si; bounded is false for the last entry of the run.
+func endOf[K key](run []segment[K], si, i int) (end K, bounded bool) {
+	if i+1 < len(run[si].starts) {
+		return run[si].starts[i+1], true
+	}
+	if si+1 < len(run) {
+		return run[si+1].starts[0], true
+	}
+	return 0, false
+}
+
+// builder collects entries and cuts them into segments.
+type builder[K key] struct {
+	starts []K
+	sites  []Site
+}
+
+func (b *builder[K]) add(start K, site Site) {
+	if n := len(b.sites); n > 0 && b.sites[n-1] == site {
+		return
+	}
+	b.starts = append(b.starts, start)
+	b.sites = append(b.sites, site)
+}
+
+func (b *builder[K]) finish() []segment[K] {
+	parts := (len(b.starts) + segmentEntries - 1) / segmentEntries
+	out := make([]segment[K], 0, parts)
+	for p := range parts {
+		from, to := p*len(b.starts)/parts, (p+1)*len(b.starts)/parts
+		out = append(out, segment[K]{starts: slices.Clone(b.starts[from:to]), sites: slices.Clone(b.sites[from:to])})
+	}
+	return out
+}
