coordination, platform: keep idempotency keys in a log in the store

Claims and outcomes of a shard go into one log, one record per batch, created only if absent under the next sequence number. A create whose result is not known is repeated with the same nonce until either it or another record is found under its number; a read that finds nothing would prove nothing, because the write may still take effect.

A create that succeeds proves that its writer knew the whole log only while the record before it cannot have expired. So a writer renews the lease of the last record after loading, reloads after 30 minutes without an append, and ignores a result that comes later than 50 minutes after that proof. An empty log continues above the hint, which reserves 1,000 numbers at a time.

Found by the property test and fixed: a grant handled after a long pause of its client was used although its record had expired; a writer with an old index answered "pending" for a key that another writer had recorded as ran; a late outcome of an expired key replaced a newer claim.

--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -58,9 +58,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	feed := &platform.Feed{Client: platform.New(cfg.Platform.String()), Offer: loop.Offer, Log: log.Named("platform")}
+	claimLog := platform.NewClaimLog(platform.New(cfg.Platform.String()), loop.Offer, log.Named("claims"))
+	loop.UseStore(claimLog)
+	claimLog.Run(ctx)
 	go loop.Run(ctx)
 	go fl.Run(ctx, loop.Offer)
-	feed := &platform.Feed{Client: platform.New(cfg.Platform.String()), Offer: loop.Offer, Log: log.Named("platform")}
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
 	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
--- /dev/null
+++ b/coordination/claims/claims_test.go
@@ -0,0 +1,183 @@
+package claims_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"azurebridge/coordination/claims"
+	"azurebridge/coordination/message"
+)
+
+// modelKeys are the first bytes of the keys: two of one shard and one of another.
+var modelKeys = []byte{0, 16, 1}
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204") // fixed, so that a run can be repeated
+	_ = flag.Set("rapid.checks", "600")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
+	m.Run()
+}
+
+// Guards against two attempts of one key being sent, a grant without a record, and "unavailable" for a claim that is in
+// the log, under lost, repeated and reordered messages, lost store replies, outages, pauses, restarts and several writers.
+func TestClaimsUnderFaults(t *testing.T) {
+	granted, replayed, released := 0, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt)
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			m.step()
+		}
+		m.heal()
+		m.checkEnd()
+		for _, y := range m.tries {
+			switch {
+			case y.status == message.ClaimGranted && m.ended[y.req.Attempt].Kind == message.OutcomeNotRun:
+				released++
+			case y.status == message.ClaimGranted:
+				granted++
+			case y.status == message.ClaimRan:
+				replayed++
+			}
+		}
+	})
+	if granted == 0 || replayed == 0 || released == 0 {
+		t.Fatalf("the schedules reach too little: %d granted, %d replayed, %d released", granted, replayed, released)
+	}
+	t.Logf("%d granted, %d replayed, %d released", granted, replayed, released)
+}
+
+// step makes one random move.
+func (m *model) step() {
+	p := m.processes[rapid.IntRange(0, modelProcesses-1).Draw(m.t, "process")]
+	switch rapid.IntRange(0, 23).Draw(m.t, "move") {
+	case 0, 1, 2:
+		m.start(p, rapid.SampledFrom(modelKeys).Draw(m.t, "key"), rapid.Uint64Range(1, 5).Draw(m.t, "fingerprint")/5)
+	case 3, 4, 5, 6, 7:
+		m.moveMail(rapid.IntRange(0, 9).Draw(m.t, "mail"))
+	case 8, 9, 10, 11, 12:
+		m.moveOp(rapid.IntRange(0, 9).Draw(m.t, "operation"))
+	case 13, 14:
+		m.tick(p)
+	case 15, 16:
+		pauses := []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second, time.Minute}
+		if rapid.IntRange(0, 7).Draw(m.t, "long") == 0 {
+			pauses = []time.Duration{7 * time.Minute, 35 * time.Minute, 58 * time.Minute, 70 * time.Minute}
+		}
+		m.now = m.now.Add(rapid.SampledFrom(pauses).Draw(m.t, "pause"))
+	case 17:
+		for s := range m.writers {
+			m.writers[s] = p.name
+		}
+	case 18:
+		for _, y := range m.tries {
+			if y.status == message.ClaimGranted && !y.done {
+				m.finish(y, rapid.SampledFrom([]message.OutcomeKind{1, 1, 2, 2, 2, 3}).Draw(m.t, "outcome"))
+			}
+		}
+	case 19, 20, 21, 22:
+		m.run(rapid.IntRange(1, 4).Draw(m.t, "turns"))
+	case 23:
+		if rapid.IntRange(0, 3).Draw(m.t, "restart") == 0 {
+			m.restart(p)
+		}
+	}
+}
+
+func (m *model) moveMail(how int) {
+	if len(m.mail) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.mail)-1).Draw(m.t, "index")
+	x := m.mail[i]
+	if how != 0 { // otherwise the message is repeated later
+		m.mail = append(m.mail[:i:i], m.mail[i+1:]...)
+	}
+	if how != 1 { // otherwise it is lost
+		m.deliver(x)
+	}
+}
+
+func (m *model) moveOp(how int) {
+	if len(m.ops) == 0 {
+		return
+	}
+	o := m.ops[rapid.IntRange(0, len(m.ops)-1).Draw(m.t, "index")]
+	late := m.now.Sub(o.at) > modelOpDelay
+	switch {
+	case o.applied:
+		m.settle(o, 0)
+	case late || how == 0:
+		m.settle(o, claims.OpUnknown) // lost before it took effect
+	case how == 1:
+		m.settle(o, claims.OpNotDone)
+	case how == 2:
+		m.apply(o)
+		m.settle(o, claims.OpUnknown) // the reply was lost
+	case how == 3: // the writer's call ended, and the operation takes effect later
+		again := *o
+		again.writer = nil
+		m.ops = append(m.ops, &again)
+		m.settle(o, claims.OpUnknown)
+	default:
+		m.apply(o)
+		if how > 6 {
+			m.settle(o, 0)
+		}
+	}
+}
+
+// heal lets everything that is under way end without further faults.
+func (m *model) heal() { m.run(400) }
+
+// run carries out what is under way without faults, for some turns of 100 ms.
+func (m *model) run(turns int) {
+	for range turns {
+		for len(m.ops) > 0 {
+			o := m.ops[0]
+			if !o.applied && m.now.Sub(o.at) > modelOpDelay {
+				m.settle(o, claims.OpUnknown)
+				continue
+			}
+			if !o.applied {
+				m.apply(o)
+			}
+			m.settle(o, 0)
+		}
+		for _, x := range m.mail {
+			m.mail = m.mail[1:]
+			m.deliver(x)
+		}
+		m.now = m.now.Add(100 * time.Millisecond)
+		for _, p := range m.processes {
+			m.tick(p)
+		}
+	}
+}
+
+// checkEnd checks what must hold once nothing is under way.
+func (m *model) checkEnd() {
+	ran := make(map[message.ClaimKey]*try)
+	for _, y := range m.tries {
+		if y.status == message.ClaimUnavailable && m.claimed[y.req.Attempt] {
+			m.t.Fatalf("attempt %s is in the log although its client was told that it is not", y.req.Attempt)
+		}
+		if m.ended[y.req.Attempt].Kind == message.OutcomeRan && m.now.Sub(y.granted) < claims.ClaimRetention {
+			ran[y.req.Key] = y
+		}
+	}
+	for _, key := range modelKeys {
+		y := ran[message.ClaimKey{key}]
+		if y == nil {
+			continue
+		}
+		again := m.start(m.processes[0], y.req.Key[0], y.req.Fingerprint)
+		m.heal()
+		if again.status != message.ClaimRan {
+			m.t.Fatalf("a repeat of a key that ran got status %d", again.status)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/claims/model_test.go
@@ -0,0 +1,290 @@
+package claims_test
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"azurebridge/coordination/claims"
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+)
+
+const (
+	modelProcesses = 3
+	modelPage      = 2               // records of one list reply
+	modelOpDelay   = 8 * time.Minute // longest time after which a store operation still takes effect
+)
+
+// process is an instance with its cores. A restart replaces the cores.
+type process struct {
+	name   state.InstanceName
+	client *claims.Client
+	writer *claims.Writer
+}
+
+type modelOp struct {
+	by      *process
+	writer  *claims.Writer // of the incarnation that handed the operation out
+	op      claims.Op
+	at      state.Instant
+	applied bool
+	result  claims.OpResult
+}
+
+type mail struct {
+	from, to state.InstanceName
+	body     message.Body
+}
+
+// try is one attempt of a client.
+type try struct {
+	req     *message.ClaimRequest
+	by      *process
+	status  message.ClaimStatus
+	granted state.Instant
+	done    bool
+}
+
+// model holds the processes, the network and the store, and checks the rules.
+type model struct {
+	t         *rapid.T
+	now       state.Instant
+	processes []*process
+	writers   [claims.Shards]state.InstanceName
+	mail      []mail
+	ops       []*modelOp
+	records   map[claims.Shard]map[uint64]claims.Record
+	hint      map[claims.Shard][2]uint64 // value and version
+	leases    map[uint64]state.Instant   // end of each lease
+	lastID    uint64
+	tries     []*try
+	claimed   map[message.AttemptID]bool            // ever in the log
+	ended     map[message.AttemptID]message.Outcome // recorded outcomes
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, records: make(map[claims.Shard]map[uint64]claims.Record), hint: make(map[claims.Shard][2]uint64),
+		leases: make(map[uint64]state.Instant), claimed: make(map[message.AttemptID]bool),
+		ended: make(map[message.AttemptID]message.Outcome),
+	}
+	for i := range modelProcesses {
+		p := &process{name: state.InstanceName(fmt.Sprintf("entry-%d", i))}
+		m.processes = append(m.processes, p)
+		m.restart(p)
+	}
+	return m
+}
+
+func (m *model) id() uint64 { m.lastID++; return m.lastID }
+
+func (m *model) nonce() (n claims.Nonce) {
+	copy(n[:], fmt.Sprintf("%016d", m.id()))
+	return n
+}
+
+// restart loses the memory of a process and what is on the way to it; its connections end with it.
+func (m *model) restart(p *process) {
+	p.client = claims.NewClient(func(s claims.Shard) state.InstanceName { return m.writers[s] })
+	p.writer = claims.NewWriter(m.nonce)
+	kept := m.mail[:0]
+	for _, x := range m.mail {
+		if x.to != p.name {
+			kept = append(kept, x)
+		}
+	}
+	m.mail = kept
+	for _, y := range m.tries {
+		if y.by == p {
+			y.done = true
+		}
+	}
+}
+
+func (m *model) collect(p *process) {
+	out := append(p.client.TakeOutbound(), p.writer.TakeOutbound()...)
+	// Client.Tick runs over maps; a fixed order makes failures repeatable.
+	sort.SliceStable(out, func(i, j int) bool {
+		return fmt.Sprintf("%T%v", out[i].Body, out[i].Body) < fmt.Sprintf("%T%v", out[j].Body, out[j].Body)
+	})
+	for _, o := range out {
+		m.mail = append(m.mail, mail{p.name, o.To, o.Body})
+	}
+	for _, op := range p.writer.TakeOps() {
+		m.ops = append(m.ops, &modelOp{by: p, writer: p.writer, op: op, at: m.now})
+	}
+}
+
+func (m *model) deliver(x mail) {
+	for _, p := range m.processes {
+		if p.name != x.to {
+			continue
+		}
+		switch b := x.body.(type) {
+		case *message.ClaimRequest:
+			p.writer.Claim(m.now, x.from, b)
+		case *message.ClaimReply:
+			p.client.Reply(m.now, b)
+		case *message.OutcomeReport:
+			p.writer.Outcome(m.now, x.from, b)
+		case *message.OutcomeAck:
+			p.client.Acknowledge(b)
+		}
+		m.collect(p)
+	}
+}
+
+func (m *model) tick(p *process) {
+	p.client.Tick(m.now)
+	p.writer.Tick(m.now)
+	m.collect(p)
+}
+
+// start begins an attempt.
+func (m *model) start(p *process, key byte, fingerprint uint64) *try {
+	n := m.nonce()
+	y := &try{by: p, req: &message.ClaimRequest{Key: message.ClaimKey{key}, Fingerprint: fingerprint, Attempt: message.AttemptID(n)}}
+	m.tries = append(m.tries, y)
+	p.client.Claim(m.now, y.req, &modelWaiter{m, y})
+	m.collect(p)
+	return y
+}
+
+// modelWaiter checks each answer against the log.
+type modelWaiter struct {
+	m *model
+	y *try
+}
+
+func (w *modelWaiter) Claimed(r *message.ClaimReply) bool {
+	m, y := w.m, w.y
+	y.status = r.Status
+	switch r.Status {
+	case message.ClaimGranted:
+		if !m.claimed[y.req.Attempt] {
+			m.t.Fatalf("attempt %x is granted but not in the log", y.req.Attempt)
+		}
+		for _, o := range m.tries {
+			if o != y && o.req.Key == y.req.Key && o.status == message.ClaimGranted &&
+				m.now.Sub(o.granted) < claims.ClaimRetention && m.ended[o.req.Attempt].Kind != message.OutcomeNotRun {
+				m.t.Fatalf("attempts %s and %s of one key are both granted", o.req.Attempt, y.req.Attempt)
+			}
+		}
+		y.granted = m.now
+	case message.ClaimRan:
+		known := false
+		for _, o := range m.tries {
+			known = known || o.req.Key == y.req.Key && m.ended[o.req.Attempt].Kind == message.OutcomeRan &&
+				string(m.ended[o.req.Attempt].Body) == string(r.Outcome.Body)
+		}
+		if !known {
+			m.t.Fatalf("answer %q was never recorded for key %x", r.Outcome.Body, y.req.Key)
+		}
+	}
+	return true
+}
+
+// finish ends a granted attempt.
+func (m *model) finish(y *try, kind message.OutcomeKind) {
+	y.done = true
+	o := message.Outcome{Kind: kind}
+	if kind == message.OutcomeRan {
+		o.StatusCode, o.Body = 200, y.req.Attempt[:]
+	}
+	y.by.client.Report(m.now, &message.OutcomeReport{
+		Key: y.req.Key, Attempt: y.req.Attempt, Fingerprint: y.req.Fingerprint, Outcome: o,
+	})
+	m.collect(y.by)
+}
+
+// apply carries out a store operation.
+func (m *model) apply(o *modelOp) {
+	o.applied = true
+	m.expire()
+	s, op, r := o.op.Shard, &o.op, &o.result
+	*r = claims.OpResult{ID: op.ID, Shard: s, Status: claims.OpConflict}
+	switch op.Kind {
+	case claims.OpList:
+		r.Status, r.Hint, r.Version = claims.OpOK, m.hint[s][0], m.hint[s][1]
+		for seq, rec := range m.records[s] {
+			if seq > op.Seq {
+				r.Records = append(r.Records, rec)
+			}
+		}
+		sort.Slice(r.Records, func(i, j int) bool { return r.Records[i].Seq < r.Records[j].Seq })
+		if len(r.Records) > modelPage {
+			r.Records, r.More = r.Records[:modelPage], true
+		}
+	case claims.OpLease:
+		r.Status, r.Lease = claims.OpOK, m.id()
+		m.leases[r.Lease] = m.now.Add(claims.LeaseTTL)
+	case claims.OpRenew:
+		if _, ok := m.leases[op.Lease]; ok {
+			r.Status = claims.OpOK
+			m.leases[op.Lease] = m.now.Add(claims.LeaseTTL)
+		}
+	case claims.OpHint:
+		if m.hint[s][1] == op.Version {
+			m.hint[s] = [2]uint64{op.Seq, op.Version + 1}
+			r.Status, r.Version = claims.OpOK, op.Version+1
+		}
+	case claims.OpAppend:
+		if old, ok := m.records[s][op.Seq]; ok {
+			r.Records = []claims.Record{old}
+		} else if _, ok := m.leases[op.Lease]; ok {
+			r.Status = claims.OpOK
+			m.keep(s, op)
+		}
+	}
+}
+
+func (m *model) keep(s claims.Shard, op *claims.Op) {
+	if m.records[s] == nil {
+		m.records[s] = make(map[uint64]claims.Record)
+	}
+	rec := *op.Record
+	rec.Lease = op.Lease
+	m.records[s][op.Seq] = rec
+	for _, e := range rec.Entries {
+		if e.Kind == claims.EntryClaim {
+			m.claimed[e.Attempt] = true
+		} else if m.ended[e.Attempt].Kind == 0 {
+			m.ended[e.Attempt] = e.Outcome
+		}
+	}
+}
+
+func (m *model) expire() {
+	for id, ends := range m.leases {
+		if ends.Before(m.now) {
+			delete(m.leases, id)
+		}
+	}
+	for _, records := range m.records {
+		for seq, r := range records {
+			if _, ok := m.leases[r.Lease]; !ok {
+				delete(records, seq)
+			}
+		}
+	}
+}
+
+// settle removes an operation and passes its result on, unless the process has restarted since.
+func (m *model) settle(o *modelOp, status claims.OpStatus) {
+	for i := range m.ops {
+		if m.ops[i] == o {
+			m.ops = append(m.ops[:i], m.ops[i+1:]...)
+			break
+		}
+	}
+	if status != 0 {
+		o.result = claims.OpResult{ID: o.op.ID, Shard: o.op.Shard, Status: status}
+	}
+	if o.by.writer == o.writer {
+		o.by.writer.Done(m.now, &o.result)
+		m.collect(o.by)
+	}
+}
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"azurebridge/coordination/admission"
+	"azurebridge/coordination/claims"
 	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
@@ -44,6 +45,7 @@
 // Ready is the work that the core wants done.
 type Ready struct {
 	Messages []*message.Envelope
+	Store    []claims.Op     // each needs a StoreDone
 	Snapshot *state.Snapshot // nil when unchanged
 }
 
@@ -54,6 +56,8 @@
 	Misaddressed uint64
 	OldRevisions uint64
 	Holder       admission.HolderStats
+	ClaimClient  claims.Stats
+	ClaimWriter  claims.Stats
 }
 
 // Core is the control state of one instance. Control goroutine only.
@@ -66,6 +70,7 @@
 	loads     map[state.RegionName]state.RegionLoad
 	home      *admission.Home // set while this instance is home of its region
 	holder    *admission.Holder
+	claims    claimCores
 	leaving   bool
 	changed   bool
 	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
@@ -85,6 +90,7 @@
 	c.index = state.NewIndex(c.config)
 	c.instances = []state.Instance{self}
 	c.holder = admission.NewHolder(self, c.homeOf)
+	c.initClaims()
 	c.changed = true
 	return c
 }
@@ -105,6 +111,8 @@
 		c.leaving, c.changed = true, true
 	case Inspect:
 		ev.Done(c.dump(now))
+	default:
+		c.stepClaims(now, ev)
 	}
 }
 
@@ -119,6 +127,7 @@
 		c.reportStatus(now)
 	}
 	c.holder.Tick(now)
+	c.tickClaims(now)
 }
 
 // Ready returns the work since the last call.
@@ -144,6 +153,7 @@
 
 // collect moves the cores' messages to Ready, or to the local queue when they are for this instance.
 func (c *Core) collect() {
+	c.collectClaims()
 	c.post(c.holder.TakeOutbound())
 	if c.home != nil {
 		c.post(c.home.TakeOutbound())
@@ -197,6 +207,8 @@
 			Services: m.Services, ReportedAt: now,
 		}
 		c.changed = true
+	default:
+		c.deliverClaims(now, from, b)
 	}
 }
 
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -21,6 +21,7 @@
 func (c *Core) dump(state.Instant) *Dump {
 	d := &Dump{Self: c.self, Revision: c.config.Revision, Leaving: c.leaving, Instances: c.instances, Held: make(map[string]int), Stats: c.Stats}
 	d.Stats.Holder = c.holder.Stats
+	d.Stats.ClaimClient, d.Stats.ClaimWriter = c.claims.client.Stats, c.claims.writer.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
 			d.Homes = append(d.Homes, h)
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -39,6 +39,7 @@
 	core     *Core
 	clock    func() state.Instant
 	sender   Sender
+	store    StoreWorker
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -46,6 +47,7 @@
 
 	mu       sync.Mutex
 	releases []release
+	reports  []*message.OutcomeReport
 }
 
 // NewLoop returns a loop that is not yet running. Its first snapshot knows only the instance itself.
@@ -104,6 +106,7 @@
 			l.core.Tick(l.clock())
 		}
 		l.takeReleases()
+		l.takeReports()
 		l.hand(l.core.Ready(l.clock()))
 	}
 }
@@ -137,4 +140,5 @@
 	for _, e := range r.Messages {
 		l.sender.Send(e)
 	}
+	l.runStore(r.Store)
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -224,13 +224,21 @@
 	StatusCode int
 	Body       []byte // answer of the backend server, at most MaxOutcomeBody bytes
 	BodyType   string // its Content-Type
+	Omitted    bool   // the answer was larger than MaxOutcomeBody, so Body is empty
 }
 
 // OutcomeReport records how an attempt ended.
 type OutcomeReport struct {
+	Key         ClaimKey
+	Attempt     AttemptID
+	Fingerprint uint64
+	Outcome     Outcome
+}
+
+// OutcomeAck tells that an outcome is in the log, or that the log needs it no more.
+type OutcomeAck struct {
 	Key     ClaimKey
 	Attempt AttemptID
-	Outcome Outcome
 }
 
 // ConfigOffer tells the highest revision that the sender has.
@@ -269,6 +277,7 @@
 func (*ClaimRequest) body()    {}
 func (*ClaimReply) body()      {}
 func (*OutcomeReport) body()   {}
+func (*OutcomeAck) body()      {}
 func (*ConfigOffer) body()     {}
 func (*ConfigPull) body()      {}
 func (*ConfigPush) body()      {}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -52,6 +52,7 @@
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigPull](),
 	reflect.TypeFor[message.ConfigPush](),
+	reflect.TypeFor[message.OutcomeAck](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
--- /dev/null
+++ b/transport/platform/claimlog.go
@@ -0,0 +1,188 @@
+package platform
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/claims"
+	"azurebridge/coordination/control"
+	"azurebridge/protocol/storeapi"
+	"azurebridge/protocol/wire"
+)
+
+// Bounds of the claim log's store operations.
+const (
+	MaxQueuedOps    = 64 // operations waiting for a worker; a writer has at most one per shard under way
+	ClaimLogWorkers = 8  // operations carried out at the same time
+	resultRetry     = 5 * time.Millisecond
+	hintName        = "next-hint"
+)
+
+// ClaimLog carries out the store operations of the claim log.
+type ClaimLog struct {
+	client *Client
+	offer  func(control.Event) error
+	log    hclog.Logger
+	queue  chan claims.Op
+
+	Malformed atomic.Uint64 // records that could not be read
+	broken    atomic.Bool   // whether the last record read was malformed
+}
+
+// NewClaimLog returns the claim log of a store. Results are passed to offer.
+func NewClaimLog(client *Client, offer func(control.Event) error, log hclog.Logger) *ClaimLog {
+	return &ClaimLog{client: client, offer: offer, log: log, queue: make(chan claims.Op, MaxQueuedOps)}
+}
+
+// Submit hands an operation to the workers without waiting. It returns false when the queue is full.
+func (l *ClaimLog) Submit(op claims.Op) bool {
+	select {
+	case l.queue <- op:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run carries out operations until ctx ends.
+func (l *ClaimLog) Run(ctx context.Context) {
+	for range ClaimLogWorkers {
+		go l.work(ctx)
+	}
+}
+
+func (l *ClaimLog) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case op := <-l.queue:
+			r := l.do(ctx, &op)
+			r.ID, r.Shard = op.ID, op.Shard
+			// A lost result would leave the shard waiting, so a full control queue is tried again.
+			for l.offer(control.StoreDone{Result: r}) != nil && ctx.Err() == nil {
+				sleep(ctx, resultRetry)
+			}
+		}
+	}
+}
+
+func (l *ClaimLog) do(ctx context.Context, op *claims.Op) *claims.OpResult {
+	switch op.Kind {
+	case claims.OpList:
+		return l.list(ctx, op)
+	case claims.OpAppend:
+		return l.append(ctx, op)
+	case claims.OpLease:
+		r, err := l.client.Lease(ctx, storeapi.LeaseRequest{TTLSeconds: int(claims.LeaseTTL / time.Second)})
+		return &claims.OpResult{Status: status(err, r.OK), Lease: r.ID}
+	case claims.OpRenew:
+		r, err := l.client.Lease(ctx, storeapi.LeaseRequest{ID: op.Lease})
+		return &claims.OpResult{Status: status(err, r.OK)}
+	default:
+		value := binary.BigEndian.AppendUint64(nil, op.Seq)
+		r, err := l.client.CAS(ctx, storeapi.CASRequest{Key: prefix(op.Shard) + hintName, Value: value, Version: op.Version})
+		return &claims.OpResult{Status: status(err, r.OK), Version: r.Current.Version}
+	}
+}
+
+// status classifies the result of a write. A write of which nothing is known must not count as not done.
+func status(err error, ok bool) claims.OpStatus {
+	switch {
+	case err == nil && ok:
+		return claims.OpOK
+	case err == nil:
+		return claims.OpConflict
+	case errors.Is(err, ErrUnavailable):
+		return claims.OpNotDone
+	default:
+		return claims.OpUnknown
+	}
+}
+
+func (l *ClaimLog) list(ctx context.Context, op *claims.Op) *claims.OpResult {
+	failed := &claims.OpResult{Status: claims.OpNotDone}
+	after := ""
+	if op.Seq > 0 {
+		after = recordKey(op.Shard, op.Seq)
+	}
+	page, err := l.client.List(ctx, prefix(op.Shard), after)
+	if err != nil {
+		return failed
+	}
+	r := &claims.OpResult{Status: claims.OpOK, More: page.More}
+	for i := range page.Entries {
+		e := &page.Entries[i]
+		if e.Key == prefix(op.Shard)+hintName {
+			if len(e.Value) != 8 {
+				l.refuse(e.Key, errors.Errorf("hint has %d bytes", len(e.Value)))
+				return failed
+			}
+			r.Hint, r.Version = binary.BigEndian.Uint64(e.Value), e.Version
+			continue
+		}
+		rec, err := l.decode(op.Shard, e)
+		if err != nil {
+			return failed
+		}
+		r.Records = append(r.Records, *rec)
+	}
+	return r
+}
+
+// append creates a record. A malformed record in its place is not known to be another writer's.
+func (l *ClaimLog) append(ctx context.Context, op *claims.Op) *claims.OpResult {
+	value, err := wire.EncodeClaimRecord(op.Record)
+	if err != nil {
+		l.refuse(recordKey(op.Shard, op.Seq), err)
+		return &claims.OpResult{Status: claims.OpNotDone}
+	}
+	reply, err := l.client.CAS(ctx, storeapi.CASRequest{Key: recordKey(op.Shard, op.Seq), Value: value, Lease: op.Lease})
+	r := &claims.OpResult{Status: status(err, reply.OK)}
+	if r.Status != claims.OpConflict || reply.Current.Version == 0 {
+		return r
+	}
+	rec, err := l.decode(op.Shard, &reply.Current)
+	if err != nil {
+		return &claims.OpResult{Status: claims.OpUnknown}
+	}
+	r.Records = []claims.Record{*rec}
+	return r
+}
+
+func (l *ClaimLog) decode(s claims.Shard, e *storeapi.Entry) (*claims.Record, error) {
+	seq, err := strconv.ParseUint(strings.TrimPrefix(e.Key, prefix(s)), 16, 64)
+	if err != nil {
+		l.refuse(e.Key, err)
+		return nil, err
+	}
+	rec, err := wire.DecodeClaimRecord(e.Value)
+	if err != nil {
+		l.refuse(e.Key, err)
+		return nil, err
+	}
+	l.broken.Store(false)
+	rec.Seq, rec.Lease = seq, e.Lease
+	return rec, nil
+}
+
+// refuse counts a record that cannot be written or read, and logs the first one in a row.
+func (l *ClaimLog) refuse(key string, err error) {
+	l.Malformed.Add(1)
+	if !l.broken.Swap(true) {
+		l.log.Error("claim record refused", "key", key, "error", err)
+	}
+}
+
+func prefix(s claims.Shard) string { return fmt.Sprintf("claims/%02x/", uint8(s)) }
+
+// recordKey sorts in the order of sequence numbers, and before the hint.
+func recordKey(s claims.Shard, seq uint64) string { return fmt.Sprintf("%s%016x", prefix(s), seq) }
