edge: run submissions at most once, with the truth about their outcome

A submission with Idempotency-Key is claimed before the grant is requested. It runs on when its caller disconnects, and its outcome is recorded.

net/http may repeat a request that carries Idempotency-Key or X-Idempotency-Key, so backend servers get the key as Azb-Submission-Key.

A repeat that arrives right after the answer found the key pending, because its outcome was still on the way to the log: outcomes are now handled before events that came later, and a claim waits for a queued outcome of its key.

--- a/coordination/claims/shard.go
+++ b/coordination/claims/shard.go
@@ -309,6 +309,9 @@
 		e := s.entry(it)
 		n := entryOverhead + len(e.Outcome.Body) + len(e.Outcome.BodyType)
 		_, taken := inBatch[e.Key]
+		if it.claim != nil && s.index.keys[e.Key] != nil {
+			taken = true // it waits for the outcome of an earlier attempt; invariant at-most-once
+		}
 		if taken || size+n > MaxBatchBytes || len(rec.Entries) >= MaxBatchEntries {
 			later = append(later, it) // one entry per key and record, so that the index decides between two
 			continue
@@ -318,7 +321,11 @@
 		rec.Entries = append(rec.Entries, e)
 		s.batch = append(s.batch, it)
 	}
-	s.queue, s.record = later, rec
+	s.queue = later
+	if len(rec.Entries) == 0 {
+		return
+	}
+	s.record = rec
 	s.start(now, Op{Kind: OpAppend, Seq: rec.Seq, Lease: rec.Lease, Record: rec})
 }
 
@@ -354,6 +361,9 @@
 	}
 	if reply, ok := s.index.answer(it.claim); ok {
 		decided := reply.Status == message.ClaimRan || reply.Status == message.ClaimGranted
+		if _, ok := s.waiting[waitKey{s.index.keys[it.claim.Key].attempt, false}]; ok && !decided {
+			return false // its outcome is about to be recorded
+		}
 		if !decided && s.freshAt.Before(it.at) {
 			s.refresh = true // another writer may have recorded an outcome
 			return false
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -99,7 +99,7 @@
 		case <-ctx.Done():
 			return
 		case ev := <-l.queue:
-			l.core.Step(l.clock(), ev)
+			l.step(ev)
 			l.drain()
 		case <-l.wake:
 		case <-ticker.C:
@@ -116,13 +116,19 @@
 	for i := 1; i < MaxBatch; i++ {
 		select {
 		case ev := <-l.queue:
-			l.core.Step(l.clock(), ev)
+			l.step(ev)
 		default:
 			return
 		}
 	}
 }
 
+// step handles an event after the outcomes that came before it, so that a repeated submission finds its outcome.
+func (l *Loop) step(ev Event) {
+	l.takeReports()
+	l.core.Step(l.clock(), ev)
+}
+
 func (l *Loop) takeReleases() {
 	l.mu.Lock()
 	list := l.releases
--- a/protocol/callers/callers.go
+++ b/protocol/callers/callers.go
@@ -19,7 +19,9 @@
 	HeaderNotRun         = "Azb-Not-Run"     // set by a backend server that refused a request before running it
 	HeaderInternalPrefix = "Azb-Internal-"   // reserved; refused from callers
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderReplayed       = "Azb-Replayed" // the answer was recorded when an earlier attempt with the same key ran
+	HeaderSubmissionKey  = "Azb-Submission-Key" // the idempotency key, as a backend server sees it
+	HeaderReplayed       = "Azb-Replayed"       // the answer was recorded when an earlier attempt with the same key ran
+	HeaderAnswerOmitted  = "Azb-Answer-Omitted" // the recorded answer was too large to be kept; its body is missing
 )
 
 // PathPrefix is the path below which the system itself answers.
--- a/transport/edge/carry.go
+++ b/transport/edge/carry.go
@@ -136,8 +136,13 @@
 		out.Body = in.Body
 	}
 	if rq.once() {
-		// net/http would send a request with this header and no body again by itself.
+		// net/http would send a request with one of these headers and no body again by itself.
 		out.Header.Del(callers.HeaderIdempotencyKey)
+		out.Header.Del("X-Idempotency-Key")
+		out.Header.Del(callers.HeaderSubmissionKey)
+		if rq.key != "" {
+			out.Header.Set(callers.HeaderSubmissionKey, rq.key)
+		}
 	}
 	if d, ok := ctx.Deadline(); ok {
 		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -31,6 +31,7 @@
 	Snapshot() *state.Snapshot
 	Offer(ev control.Event) error
 	Release(region state.RegionName, r message.Release)
+	Report(m *message.OutcomeReport)
 }
 
 // Options sets up a Manager.
@@ -52,6 +53,7 @@
 	Retries      atomic.Uint64
 	CutAnswers   atomic.Uint64 // answers aborted because the body ended early
 	CallerGone   atomic.Uint64
+	Replayed     atomic.Uint64 // submissions answered from the record of an earlier attempt
 	Fenced       atomic.Uint64 // requests cancelled because their grant could not be renewed
 	InFlight     atomic.Int64
 	BytesCarried atomic.Uint64
@@ -106,5 +108,9 @@
 		callers.WriteProblem(w, *problem, 0)
 		return
 	}
+	if rq.once() {
+		m.submit(w, rq)
+		return
+	}
 	m.carry(w, rq)
 }
--- /dev/null
+++ b/transport/edge/submission_test.go
@@ -0,0 +1,255 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/control"
+	"azurebridge/coordination/message"
+	"azurebridge/protocol/callers"
+	"azurebridge/protocol/storeapi"
+	"azurebridge/state"
+	"azurebridge/transport/backend"
+	"azurebridge/transport/edge"
+	"azurebridge/transport/platform"
+	"azurebridge/transport/standin"
+)
+
+// Modes of the store.
+const (
+	storeUp int32 = iota
+	storeDown
+	storeLosesReplies // writes take effect
+)
+
+type noPeers struct{}
+
+func (noPeers) Send(*message.Envelope) {}
+
+// bed is one entry instance with a stand-in store and two backend servers that share a handler.
+type bed struct {
+	*WithT
+	url   string
+	store atomic.Int32
+	mu    sync.Mutex
+	calls []*http.Request // that reached a backend server
+	serve func(n int, w http.ResponseWriter, r *http.Request)
+}
+
+func newBed(t *testing.T, serve func(n int, w http.ResponseWriter, r *http.Request)) *bed {
+	b := &bed{WithT: NewWithT(t), serve: serve}
+	store := standin.NewStore(time.Now).Handler()
+	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serveStore(store, w, r) }))
+	t.Cleanup(storeServer.Close)
+	cfg := &state.Config{
+		Revision: 1, Regions: []state.Region{{Name: "r", MaxRunning: 100}},
+		Services: []state.Service{{Name: "orders", Kind: state.KindSubmission, QueueTimeout: 5 * time.Second}},
+		Plans: []state.Plan{{Name: "p", Regions: []state.RegionName{"r"}, Services: []state.PlanService{
+			{Service: "orders", SharePercent: 100, BurstPercent: 100},
+		}}},
+		Customers: []state.Customer{{Name: "c", Plan: "p"}},
+	}
+	for i := range 2 {
+		s := httptest.NewServer(http.HandlerFunc(b.serveBackend))
+		t.Cleanup(s.Close)
+		cfg.Backends = append(cfg.Backends, state.BackendServer{
+			Name: state.BackendName(fmt.Sprintf("b%d", i)), Service: "orders", Region: "r", Slots: 4, MaxConnections: 100,
+			Address: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
+		})
+	}
+	log := hclog.NewNullLogger()
+	loop := control.NewLoop(control.NewCore(state.Instance{Name: "e", Region: "r", Status: state.InstanceLive}), state.MonotonicClock(), noPeers{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	claimLog := platform.NewClaimLog(platform.New(strings.TrimPrefix(storeServer.URL, "http://")), loop.Offer, log)
+	loop.UseStore(claimLog)
+	claimLog.Run(ctx)
+	go loop.Run(ctx)
+	b.Expect(loop.Offer(control.Configured{Config: cfg})).To(Succeed())
+	b.Eventually(func() state.Revision { return loop.Snapshot().Config.Revision }).Should(BeEquivalentTo(1))
+	front := httptest.NewServer(edge.New(edge.Options{Control: loop, Backends: backend.New(nil), Log: log}))
+	t.Cleanup(front.Close)
+	b.url = front.URL
+	// The home of the region exists after the first tick.
+	b.Eventually(func() string { return b.post("", "warm-up").Outcome }).Should(Equal("ran"))
+	b.calls = nil
+	return b
+}
+
+func (b *bed) serveStore(store http.Handler, w http.ResponseWriter, r *http.Request) {
+	mode := b.store.Load()
+	if mode == storeDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if mode == storeLosesReplies && r.URL.Path == storeapi.PathCAS {
+		b.store.Store(storeUp)
+		store.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	store.ServeHTTP(w, r)
+}
+
+func (b *bed) serveBackend(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	if string(data) == "warm-up" {
+		return
+	}
+	b.mu.Lock()
+	b.calls = append(b.calls, r)
+	n := len(b.calls)
+	b.mu.Unlock()
+	b.serve(n, w, r)
+}
+
+func (b *bed) called() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.calls)
+}
+
+type answer struct {
+	Status            int
+	Outcome, Replayed string
+	RetryAfter, Body  string
+}
+
+func (b *bed) post(key, body string) answer {
+	a, err := b.postContext(context.Background(), key, body)
+	b.Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+func (b *bed) postContext(ctx context.Context, key, body string) (answer, error) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/orders/new", strings.NewReader(body))
+	req.Header.Set(callers.HeaderCustomer, "c")
+	if key != "" {
+		req.Header.Set(callers.HeaderIdempotencyKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	h := resp.Header
+	return answer{resp.StatusCode, h.Get(callers.HeaderOutcome), h.Get(callers.HeaderReplayed), h.Get("Retry-After"), string(data)}, err
+}
+
+func refuseWork(w http.ResponseWriter) {
+	w.Header().Set(callers.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func accept(n int, w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, "receipt %d", n) }
+
+func cut(int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// Guards against a refused submission being lost, or sent to the server that refused it.
+func TestRefusedSubmissionRunsElsewhere(t *testing.T) {
+	b := newBed(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			refuseWork(w)
+			return
+		}
+		accept(n, w, r)
+	})
+	b.Expect(b.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Body: "receipt 2"}))
+	addr := func(i int) any { return b.calls[i].Context().Value(http.LocalAddrContextKey) }
+	b.Expect(addr(0)).NotTo(Equal(addr(1)))
+	b.Expect(b.calls[0].Header).NotTo(HaveKey(callers.HeaderIdempotencyKey))
+	b.Expect(b.calls[0].Header.Get(callers.HeaderSubmissionKey)).To(Equal("k"))
+}
+
+// Guards against a submission being sent again, or called "not run", after a server may have begun it.
+func TestCutSubmissionIsUnknown(t *testing.T) {
+	for name, serve := range map[string]func(int, http.ResponseWriter, *http.Request){
+		"before the header": cut,
+		"within the answer": func(_ int, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "part")
+			cut(0, w, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, serve)
+			b.Expect(b.post("k", "x")).To(And(HaveField("Status", 502), HaveField("Outcome", "unknown")))
+			b.Expect(b.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
+			b.Expect(b.post("", "x")).To(HaveField("Outcome", "unknown"))
+			b.Expect(b.called()).To(Equal(2))
+		})
+	}
+}
+
+// Guards against a second run for a repeated key, and an answer for a submission that differs.
+func TestRepeatedKey(t *testing.T) {
+	b := newBed(t, accept)
+	b.Expect(b.post("k", "x")).To(HaveField("Body", "receipt 1"))
+	b.Expect(b.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Replayed: "1", Body: "receipt 1"}))
+	b.Expect(b.post("k", "y")).To(And(HaveField("Status", 422), HaveField("Outcome", "not-run")))
+	b.Expect(b.called()).To(Equal(1))
+}
+
+// Guards against a keyed submission that runs without a record, and a known answer that is lost with the store.
+func TestStoreDown(t *testing.T) {
+	b := newBed(t, accept)
+	b.Expect(b.post("known", "x")).To(HaveField("Outcome", "ran"))
+	b.Eventually(func() string { return b.post("known", "x").Replayed }).Should(Equal("1"))
+	b.store.Store(storeDown)
+	b.Expect(b.post("k", "x")).To(And(HaveField("Status", 503), HaveField("Outcome", "not-run"), HaveField("RetryAfter", "1")))
+	b.Expect(b.post("known", "x")).To(HaveField("Replayed", "1"))
+	b.Expect(b.called()).To(Equal(1))
+	b.Expect(b.post("", "x")).To(HaveField("Body", "receipt 2"))
+	b.store.Store(storeUp)
+	b.Eventually(func() string { return b.post("k", "x").Outcome }, "5s").Should(Equal("ran"))
+}
+
+// Guards against a claim that is given up although its record was written.
+func TestLostStoreReply(t *testing.T) {
+	b := newBed(t, accept)
+	b.Expect(b.post("first", "x")).To(HaveField("Outcome", "ran"))
+	b.store.Store(storeLosesReplies)
+	b.Expect(b.post("k", "x")).To(HaveField("Body", "receipt 2"))
+	b.Expect(b.post("k", "x")).To(HaveField("Replayed", "1"))
+}
+
+// Guards against an outcome that is lost because its caller has gone.
+func TestCallerGone(t *testing.T) {
+	finish := make(chan struct{})
+	started := make(chan struct{})
+	b := newBed(t, func(n int, w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-finish
+		accept(n, w, r)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	_, err := b.postContext(ctx, "k", "x")
+	b.Expect(err).To(MatchError(context.Canceled))
+	b.Expect(b.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
+	close(finish)
+	b.Eventually(func() answer { return b.post("k", "x") }, "5s").
+		Should(Equal(answer{Status: 200, Outcome: "ran", Replayed: "1", Body: "receipt 1"}))
+	b.Expect(b.called()).To(Equal(1))
+}
+
+// Guards against a body that is sent again in part: one that is not kept is sent to one server only.
+func TestLargeSubmissionIsSentOnce(t *testing.T) {
+	b := newBed(t, func(_ int, w http.ResponseWriter, _ *http.Request) { refuseWork(w) })
+	b.Expect(b.post("k", strings.Repeat("x", edge.MaxBufferedBody+1))).To(HaveField("Outcome", "not-run"))
+	b.Expect(b.called()).To(Equal(1))
+	b.Expect(b.post("k", strings.Repeat("x", edge.MaxBufferedBody))).To(HaveField("Outcome", "not-run"))
+	b.Expect(b.called()).To(Equal(3), "a buffered one is tried at both servers")
+}
