--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"azurebridge/coordination/admission"
+	"azurebridge/coordination/claims"
 	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
@@ -40,6 +41,7 @@
 // Ready is the work that the core wants done.
 type Ready struct {
 	Messages []*message.Envelope
+	Store    []claims.Op     // each needs a StoreDone
 	Snapshot *state.Snapshot // nil when unchanged
 	Config   ConfigWork
 }
@@ -51,6 +53,8 @@
 	Misaddressed uint64
 	OldRevisions uint64
 	Holder       admission.HolderStats
+	ClaimClient  claims.Stats
+	ClaimWriter  claims.Stats
 }
 
 // Core is the control state of one instance. Control goroutine only.
@@ -64,6 +68,7 @@
 	home      *admission.Home // set while this instance is home of its region
 	holder    *admission.Holder
 	rollout   configState
+	claims    claimCores
 	leaving   bool
 	changed   bool
 	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
@@ -84,6 +89,7 @@
 	c.instances = []state.Instance{self}
 	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
+	c.initClaims()
 	c.changed = true
 	return c
 }
@@ -105,6 +111,8 @@
 		c.leaving, c.changed = true, true
 	case Inspect:
 		ev.Done(c.dump(now))
+	default:
+		c.stepClaims(now, ev)
 	}
 }
 
@@ -120,6 +128,7 @@
 	}
 	c.holder.Tick(now)
 	c.tickConfig(now)
+	c.tickClaims(now)
 }
 
 // Ready returns the work since the last call.
@@ -145,6 +154,7 @@
 
 // collect moves the cores' messages to Ready, or to the local queue when they are for this instance.
 func (c *Core) collect() {
+	c.collectClaims()
 	c.post(c.holder.TakeOutbound())
 	c.collectConfig()
 	if c.home != nil {
@@ -201,6 +211,7 @@
 		c.changed = true
 	default:
 		c.deliverConfig(now, from, b)
+		c.deliverClaims(now, from, b)
 	}
 }
 
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -40,6 +40,7 @@
 	clock    func() state.Instant
 	sender   Sender
 	configs  ConfigWorker // nil until SetConfigWorker
+	store    StoreWorker
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -47,6 +48,7 @@
 
 	mu       sync.Mutex
 	releases []release
+	reports  []*message.OutcomeReport
 }
 
 // NewLoop returns a loop that is not yet running. Its first snapshot knows only the instance itself.
@@ -98,13 +100,14 @@
 		case <-ctx.Done():
 			return
 		case ev := <-l.queue:
-			l.core.Step(l.clock(), ev)
+			l.step(ev)
 			l.drain()
 		case <-l.wake:
 		case <-ticker.C:
 			l.core.Tick(l.clock())
 		}
 		l.takeReleases()
+		l.takeReports()
 		l.hand(l.core.Ready(l.clock()))
 	}
 }
@@ -114,13 +117,19 @@
 	for i := 1; i < MaxBatch; i++ {
 		select {
 		case ev := <-l.queue:
-			l.core.Step(l.clock(), ev)
+			l.step(ev)
 		default:
 			return
 		}
 	}
 }
 
+// step handles an event after the outcomes that came before it, so that a repeated submission finds its outcome.
+func (l *Loop) step(ev Event) {
+	l.takeReports()
+	l.core.Step(l.clock(), ev)
+}
+
 func (l *Loop) takeReleases() {
 	l.mu.Lock()
 	list := l.releases
@@ -139,4 +148,5 @@
 		l.sender.Send(e)
 	}
 	l.handConfig(r.Config)
+	l.runStore(r.Store)
 }
