claims: bound the rate of appends per shard

The store serves several hundred writes/s for everything.

Each shard now has a token bucket of one append per 80 ms with a burst of 4, and an outcome waits up to 250 ms for a claim to share a record with. Reads that look for another writer's records are 100 ms apart.

--- a/coordination/claims/shard.go
+++ b/coordination/claims/shard.go
@@ -31,6 +31,10 @@
 	lease   uint64
 	leaseAt state.Instant
 
+	tokens   float64 // appends that may begin at once
+	refilled state.Instant
+	listAt   state.Instant // when the last list was handed out
+
 	batch    []*item // of the append under way or unresolved
 	record   *Record
 	unproved bool // an append of record may have taken effect or may still do so
@@ -56,14 +60,20 @@
 		s.start(now, Op{Kind: OpRenew, Lease: s.anchor})
 	case !s.loaded:
 		s.list(now)
+	default:
+		s.write(now)
+	}
+}
+
+// write answers what the index decides and takes the next step of writing the rest.
+func (s *shardLog) write(now state.Instant) {
+	s.answerKnown(now)
+	switch {
+	case s.refresh && now.Sub(s.listAt) >= RefreshInterval:
+		s.list(now)
+	case !s.due(now):
 	case s.lease == 0 || now.Sub(s.leaseAt) > LeasePeriod:
-		s.answerKnown(now)
-		switch {
-		case s.refresh:
-			s.list(now)
-		case len(s.queue) > 0:
-			s.start(now, Op{Kind: OpLease})
-		}
+		s.start(now, Op{Kind: OpLease})
 	case s.next > s.hint && !s.restart:
 		s.start(now, Op{Kind: OpHint, Seq: s.next + HintStep, Version: s.hintVer})
 	default:
@@ -71,6 +81,22 @@
 	}
 }
 
+// due reports whether the queue should be appended now. Appends are limited by a token bucket. Outcomes alone wait for
+// OutcomeLinger, so that they usually go into the record of a later claim.
+func (s *shardLog) due(now state.Instant) bool {
+	s.tokens = min(AppendBurst, s.tokens+float64(now.Sub(s.refilled))/float64(AppendInterval))
+	s.refilled = now
+	if s.tokens < 1 {
+		return false
+	}
+	for _, it := range s.queue {
+		if it.claim != nil || now.Sub(it.at) >= OutcomeLinger || len(s.queue) >= MaxQueuedPerShard/2 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shardLog) start(now state.Instant, op Op) {
 	s.w.nextOp++
 	op.ID, op.Shard = s.w.nextOp, s.id
@@ -87,7 +113,7 @@
 		s.index = newIndex()
 		s.w.Stats.Loads++
 	}
-	s.refresh = false
+	s.refresh, s.listAt = false, now
 	s.start(now, Op{Kind: OpList, Seq: after})
 }
 
@@ -212,131 +238,6 @@
 	s.queue = kept
 }
 
-// appended handles the result of an append.
-func (s *shardLog) appended(now state.Instant, r *OpResult) {
-	if now.Sub(s.base) > MaxCommitAge {
-		s.unload() // newer records may have expired, so the create proves nothing
-		return
-	}
-	switch r.Status {
-	case OpOK:
-		s.commit(now)
-	case OpConflict:
-		s.conflict(now, r)
-	case OpNotDone:
-		if s.unproved {
-			s.retryAt = now.Add(RetryDelay)
-			return
-		}
-		s.dropBatch()
-		s.fail(now)
-	default:
-		// The same record is appended again: then either it is in the log or another record with its number is.
-		s.w.Stats.LostReplies++
-		s.unproved = true
-		s.retryAt = now.Add(RetryDelay)
-	}
-}
-
-func (s *shardLog) conflict(now state.Instant, r *OpResult) {
-	if len(r.Records) == 0 { // the lease has ended, or the store lacks the record again
-		if s.unproved {
-			s.unload()
-			return
-		}
-		s.lease = 0
-		s.requeue()
-		return
-	}
-	if r.Records[0].Nonce == s.record.Nonce {
-		s.commit(now)
-		return
-	}
-	s.w.Stats.Conflicts++
-	s.index.apply(now, &r.Records[0])
-	s.next, s.restart = r.Records[0].Seq+1, false
-	s.requeue()
-}
-
-// requeue puts the batch, which is proved not to be in the log, before the items that came later.
-func (s *shardLog) requeue() {
-	s.queue = append(s.batch, s.queue...)
-	s.batch, s.record, s.unproved = nil, nil, false
-}
-
-func (s *shardLog) dropBatch() {
-	s.refuseAll(s.batch)
-	s.batch, s.record, s.unproved = nil, nil, false
-}
-
-// commit answers the batch, whose record is in the log. Invariant at-most-once: a claim is granted here or by the index
-// only, which holds nothing but records of the log.
-func (s *shardLog) commit(now state.Instant) {
-	s.index.apply(now, s.record)
-	s.w.Stats.Appends++
-	s.w.Stats.Entries += uint64(len(s.record.Entries))
-	s.next, s.restart = s.record.Seq+1, false
-	if !s.unproved { // a repeated append may have been handed out after the record was created
-		s.base, s.freshAt = s.opAt, s.opAt
-	}
-	batch := s.batch
-	s.batch, s.record, s.unproved = nil, nil, false
-	for _, it := range batch {
-		delete(s.waiting, it.waitKey())
-		if it.claim == nil {
-			s.w.acknowledge(it.from, it.outcome)
-		} else if reply, ok := s.index.answer(it.claim); ok {
-			s.w.reply(it.from, reply)
-		}
-	}
-}
-
-// form answers the items that the index decides and starts an append of the others.
-func (s *shardLog) form(now state.Instant) {
-	s.answerKnown(now)
-	if s.refresh {
-		s.list(now)
-		return
-	}
-	if len(s.queue) == 0 {
-		return
-	}
-	rec := &Record{Seq: s.next, Nonce: s.w.nonce(), Lease: s.lease}
-	inBatch := make(map[message.ClaimKey]struct{})
-	size := 0
-	var later []*item
-	for _, it := range s.queue {
-		e := s.entry(it)
-		n := entryOverhead + len(e.Outcome.Body) + len(e.Outcome.BodyType)
-		_, taken := inBatch[e.Key]
-		if it.claim != nil && s.index.keys[e.Key] != nil {
-			taken = true // it waits for the outcome of an earlier attempt; invariant at-most-once
-		}
-		if taken || size+n > MaxBatchBytes || len(rec.Entries) >= MaxBatchEntries {
-			later = append(later, it) // one entry per key and record, so that the index decides between two
-			continue
-		}
-		inBatch[e.Key] = struct{}{}
-		size += n
-		rec.Entries = append(rec.Entries, e)
-		s.batch = append(s.batch, it)
-	}
-	s.queue = later
-	if len(rec.Entries) == 0 {
-		return
-	}
-	s.record = rec
-	s.start(now, Op{Kind: OpAppend, Seq: rec.Seq, Lease: rec.Lease, Record: rec})
-}
-
-func (s *shardLog) entry(it *item) Entry {
-	if it.claim != nil {
-		return Entry{Kind: EntryClaim, Key: it.claim.Key, Attempt: it.claim.Attempt, Fingerprint: it.claim.Fingerprint}
-	}
-	o := it.outcome
-	return Entry{Kind: EntryOutcome, Key: o.Key, Attempt: o.Attempt, Fingerprint: o.Fingerprint, Outcome: o.Outcome}
-}
-
 // answerKnown answers the items for which the log needs no entry.
 func (s *shardLog) answerKnown(now state.Instant) {
 	kept := s.queue[:0]
--- a/coordination/claims/writer.go
+++ b/coordination/claims/writer.go
@@ -18,6 +18,15 @@
 	entryOverhead     = 96                     // bytes of an encoded entry without its answer
 )
 
+// Pace of a shard's store operations. The store serves several hundred writes per second for everything; 16 logs at one
+// append per AppendInterval use at most 200 of them, and a higher rate of submissions makes larger batches instead.
+const (
+	AppendInterval  = 80 * time.Millisecond  // between appends of one shard in the long run
+	AppendBurst     = 4                      // appends that may follow each other at once
+	OutcomeLinger   = 250 * time.Millisecond // longest time that an outcome waits for a claim to share a record with
+	RefreshInterval = 100 * time.Millisecond // between reads that look for another writer's records
+)
+
 // MaxBaseAge bounds the time since the last record of the log was proved to be the last one. Within ClaimRetention no
 // record that another writer appended meanwhile can have expired, so a create that succeeds proves that there is none.
 // After a longer pause the create could succeed because newer records have expired. MaxCommitAge is the bound when the
@@ -163,7 +172,7 @@
 func (w *Writer) shard(id Shard) *shardLog {
 	s := w.shards[id]
 	if s == nil {
-		s = &shardLog{w: w, id: id, index: newIndex(), waiting: make(map[waitKey]struct{})}
+		s = &shardLog{w: w, id: id, index: newIndex(), waiting: make(map[waitKey]struct{}), tokens: AppendBurst}
 		w.shards[id] = s
 	}
 	return s
--- a/transport/edge/submission_test.go
+++ b/transport/edge/submission_test.go
@@ -55,7 +55,7 @@
 	t.Cleanup(storeServer.Close)
 	cfg := &state.Config{
 		Revision: 1, Regions: []state.Region{{Name: "r", MaxRunning: 100}},
-		Services: []state.Service{{Name: "orders", Kind: state.KindSubmission, QueueTimeout: 5 * time.Second}},
+		Services: []state.Service{{Name: "orders", Kind: state.KindSubmission, QueueTimeout: time.Second}},
 		Plans: []state.Plan{{Name: "p", Regions: []state.RegionName{"r"}, Services: []state.PlanService{
 			{Service: "orders", SharePercent: 100, BurstPercent: 100},
 		}}},
