--- a/coordination/claims/model_test.go
+++ b/coordination/claims/model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -90,13 +92,7 @@
 func (m *model) restart(p *process) {
 	p.client = claims.NewClient(func(s claims.Shard) state.InstanceName { return m.writers[s] })
 	p.writer = claims.NewWriter(m.nonce)
-	kept := m.mail[:0]
-	for _, x := range m.mail {
-		if x.to != p.name {
-			kept = append(kept, x)
-		}
-	}
-	m.mail = kept
+	m.mail = slices.DeleteFunc(m.mail, func(x mail) bool { return x.to == p.name })
 	for _, y := range m.tries {
 		if y.by == p {
 			y.done = true
@@ -107,9 +103,8 @@
 func (m *model) collect(p *process) {
 	out := append(p.client.TakeOutbound(), p.writer.TakeOutbound()...)
 	// Client.Tick runs over maps; a fixed order makes failures repeatable.
-	sort.SliceStable(out, func(i, j int) bool {
-		return fmt.Sprintf("%T%v", out[i].Body, out[i].Body) < fmt.Sprintf("%T%v", out[j].Body, out[j].Body)
-	})
+	text := func(o claims.Outbound) string { return fmt.Sprintf("%T%v", o.Body, o.Body) }
+	slices.SortStableFunc(out, func(a, b claims.Outbound) int { return strings.Compare(text(a), text(b)) })
 	for _, o := range out {
 		m.mail = append(m.mail, mail{p.name, o.To, o.Body})
 	}
@@ -175,12 +170,10 @@
 		}
 		y.granted = m.now
 	case message.ClaimRan:
-		known := false
-		for _, o := range m.tries {
-			known = known || o.req.Key == y.req.Key && m.ended[o.req.Attempt].Kind == message.OutcomeRan &&
-				string(m.ended[o.req.Attempt].Body) == string(r.Outcome.Body)
-		}
-		if !known {
+		if !slices.ContainsFunc(m.tries, func(o *try) bool {
+			e := m.ended[o.req.Attempt]
+			return o.req.Key == y.req.Key && e.Kind == message.OutcomeRan && string(e.Body) == string(r.Outcome.Body)
+		}) {
 			m.t.Fatalf("answer %q was never recorded for key %x", r.Outcome.Body, y.req.Key)
 		}
 	}
@@ -209,12 +202,11 @@
 	switch op.Kind {
 	case claims.OpList:
 		r.Status, r.Hint, r.Version = claims.OpOK, m.hint[s][0], m.hint[s][1]
-		for seq, rec := range m.records[s] {
+		for _, seq := range slices.Sorted(maps.Keys(m.records[s])) {
 			if seq > op.Seq {
-				r.Records = append(r.Records, rec)
+				r.Records = append(r.Records, m.records[s][seq])
 			}
 		}
-		sort.Slice(r.Records, func(i, j int) bool { return r.Records[i].Seq < r.Records[j].Seq })
 		if len(r.Records) > modelPage {
 			r.Records, r.More = r.Records[:modelPage], true
 		}
@@ -222,7 +214,7 @@
 		r.Status, r.Lease = claims.OpOK, m.id()
 		m.leases[r.Lease] = m.now.Add(claims.LeaseTTL)
 	case claims.OpRenew:
-		if _, ok := m.leases[op.Lease]; ok {
+		if m.leases[op.Lease] != 0 {
 			r.Status = claims.OpOK
 			m.leases[op.Lease] = m.now.Add(claims.LeaseTTL)
 		}
@@ -234,7 +226,7 @@
 	case claims.OpAppend:
 		if old, ok := m.records[s][op.Seq]; ok {
 			r.Records = []claims.Record{old}
-		} else if _, ok := m.leases[op.Lease]; ok {
+		} else if m.leases[op.Lease] != 0 {
 			r.Status = claims.OpOK
 			m.keep(s, op)
 		}
@@ -258,28 +250,15 @@
 }
 
 func (m *model) expire() {
-	for id, ends := range m.leases {
-		if ends.Before(m.now) {
-			delete(m.leases, id)
-		}
-	}
+	maps.DeleteFunc(m.leases, func(_ uint64, ends state.Instant) bool { return ends.Before(m.now) })
 	for _, records := range m.records {
-		for seq, r := range records {
-			if _, ok := m.leases[r.Lease]; !ok {
-				delete(records, seq)
-			}
-		}
+		maps.DeleteFunc(records, func(_ uint64, r claims.Record) bool { return m.leases[r.Lease] == 0 })
 	}
 }
 
 // settle removes an operation and passes its result on, unless the process has restarted since.
 func (m *model) settle(o *modelOp, status claims.OpStatus) {
-	for i := range m.ops {
-		if m.ops[i] == o {
-			m.ops = append(m.ops[:i], m.ops[i+1:]...)
-			break
-		}
-	}
+	m.ops = slices.DeleteFunc(m.ops, func(x *modelOp) bool { return x == o })
 	if status != 0 {
 		o.result = claims.OpResult{ID: o.op.ID, Shard: o.op.Shard, Status: status}
 	}
--- a/transport/edge/submission_test.go
+++ b/transport/edge/submission_test.go
@@ -114,11 +114,7 @@
 	b.serve(n, w, r)
 }
 
-func (b *bed) called() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.calls)
-}
+func (b *bed) called() int { b.mu.Lock(); defer b.mu.Unlock(); return len(b.calls) }
 
 type answer struct {
 	Status            int
