control, azb-entry: record outcomes before a planned stop ends

An instance that stopped right after its last submission lost it, and the key stayed pending. The stop now waits up to 3 s until the outcomes are acknowledged.

--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -28,6 +28,9 @@
 // it no more.
 const lookupGrace = 6 * time.Second
 
+// outcomeGrace is how long a stopping instance waits for the record of the last submissions' outcomes.
+const outcomeGrace = 3 * time.Second
+
 // run wires the entry instance and serves until a signal.
 func run(path string, checkOnly bool) error {
 	cfg, err := settings.LoadEntry(path)
@@ -112,7 +115,13 @@
 		ctx, cancel = context.WithTimeout(ctx, cfg.StopGrace)
 		defer cancel()
 	}
-	return errors.Wrap(callers.Shutdown(ctx), "planned stop")
+	err := callers.Shutdown(ctx)
+	flush, cancel := context.WithTimeout(context.Background(), outcomeGrace)
+	defer cancel()
+	if left := loop.AwaitReports(flush); left != nil {
+		log.Warn("outcomes of submissions not recorded", "error", left)
+	}
+	return errors.Wrap(err, "planned stop")
 }
 
 func writeDump(ctx context.Context, ops *operators.Manager, log hclog.Logger) {
--- a/coordination/claims/append.go
+++ b/coordination/claims/append.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// form starts an append of the items that wait.
-func (s *shardLog) form(now state.Instant) {
+// startAppend starts an append of the items that wait.
+func (s *shardLog) startAppend(now state.Instant) {
 	rec := &Record{Seq: s.next, Nonce: s.w.nonce(), Lease: s.lease}
 	inBatch := make(map[message.ClaimKey]struct{})
 	size := 0
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -57,7 +57,7 @@
 	case 0, 1, 2:
 		m.start(p, rapid.SampledFrom(modelKeys).Draw(m.t, "key"), rapid.Uint64Range(1, 5).Draw(m.t, "fingerprint")/5)
 	case 3, 4, 5, 6, 7:
-		m.moveMail(rapid.IntRange(0, 9).Draw(m.t, "mail"))
+		m.movePacket(rapid.IntRange(0, 9).Draw(m.t, "packet"))
 	case 8, 9, 10, 11, 12:
 		m.moveOp(rapid.IntRange(0, 9).Draw(m.t, "operation"))
 	case 13, 14:
@@ -87,14 +87,14 @@
 	}
 }
 
-func (m *model) moveMail(how int) {
-	if len(m.mail) == 0 {
+func (m *model) movePacket(how int) {
+	if len(m.packets) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(m.mail)-1).Draw(m.t, "index")
-	x := m.mail[i]
+	i := rapid.IntRange(0, len(m.packets)-1).Draw(m.t, "index")
+	x := m.packets[i]
 	if how != 0 { // otherwise the message is repeated later
-		m.mail = append(m.mail[:i:i], m.mail[i+1:]...)
+		m.packets = append(m.packets[:i:i], m.packets[i+1:]...)
 	}
 	if how != 1 { // otherwise it is lost
 		m.deliver(x)
@@ -147,8 +147,8 @@
 			}
 			m.settle(o, 0)
 		}
-		for _, x := range m.mail {
-			m.mail = m.mail[1:]
+		for _, x := range m.packets {
+			m.packets = m.packets[1:]
 			m.deliver(x)
 		}
 		m.now = m.now.Add(100 * time.Millisecond)
--- a/coordination/claims/client.go
+++ b/coordination/claims/client.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// Unacknowledged returns the number of outcomes that are not known to be in the log.
+func (c *Client) Unacknowledged() int { return len(c.reports) }
+
 // Tick sends again what got no reply and gives up what is overdue.
 func (c *Client) Tick(now state.Instant) {
 	for _, p := range c.claims {
--- a/coordination/claims/model_test.go
+++ b/coordination/claims/model_test.go
@@ -36,7 +36,7 @@
 	result  claims.OpResult
 }
 
-type mail struct {
+type packet struct {
 	from, to state.InstanceName
 	body     message.Body
 }
@@ -56,7 +56,7 @@
 	now       state.Instant
 	processes []*process
 	writers   [claims.Shards]state.InstanceName
-	mail      []mail
+	packets   []packet
 	ops       []*modelOp
 	records   map[claims.Shard]map[uint64]claims.Record
 	hint      map[claims.Shard][2]uint64 // value and version
@@ -92,7 +92,7 @@
 func (m *model) restart(p *process) {
 	p.client = claims.NewClient(func(s claims.Shard) state.InstanceName { return m.writers[s] })
 	p.writer = claims.NewWriter(m.nonce)
-	m.mail = slices.DeleteFunc(m.mail, func(x mail) bool { return x.to == p.name })
+	m.packets = slices.DeleteFunc(m.packets, func(x packet) bool { return x.to == p.name })
 	for _, y := range m.tries {
 		if y.by == p {
 			y.done = true
@@ -106,14 +106,14 @@
 	text := func(o claims.Outbound) string { return fmt.Sprintf("%T%v", o.Body, o.Body) }
 	slices.SortStableFunc(out, func(a, b claims.Outbound) int { return strings.Compare(text(a), text(b)) })
 	for _, o := range out {
-		m.mail = append(m.mail, mail{p.name, o.To, o.Body})
+		m.packets = append(m.packets, packet{p.name, o.To, o.Body})
 	}
 	for _, op := range p.writer.TakeOps() {
 		m.ops = append(m.ops, &modelOp{by: p, writer: p.writer, op: op, at: m.now})
 	}
 }
 
-func (m *model) deliver(x mail) {
+func (m *model) deliver(x packet) {
 	for _, p := range m.processes {
 		if p.name != x.to {
 			continue
--- a/coordination/claims/shard.go
+++ b/coordination/claims/shard.go
@@ -77,7 +77,7 @@
 	case s.next > s.hint && !s.restart:
 		s.start(now, Op{Kind: OpHint, Seq: s.next + HintStep, Version: s.hintVer})
 	default:
-		s.form(now)
+		s.startAppend(now)
 	}
 }
 
@@ -221,7 +221,7 @@
 		s.w.reply(it.from, reply)
 		return
 	}
-	s.w.bury(it.claim.Attempt)
+	s.w.markEnded(it.claim.Attempt)
 	s.w.refuse(it.from, it.claim)
 }
 
@@ -272,8 +272,8 @@
 		s.w.reply(it.from, reply)
 		return true
 	}
-	_, dead := s.w.dead[it.claim.Attempt]
-	if dead || s.index.full() {
+	_, ended := s.w.ended[it.claim.Attempt]
+	if ended || s.index.full() {
 		if s.index.full() {
 			s.w.Stats.IndexFull++
 		}
--- a/coordination/claims/writer.go
+++ b/coordination/claims/writer.go
@@ -12,7 +12,7 @@
 	MaxQueuedPerShard = 2048                   // claims and outcomes that wait for the log of one shard
 	MaxBatchBytes     = 192 << 10              // bytes of one record, by entrySize
 	MaxBatchEntries   = 1024                   // entries of one record
-	MaxDeadAttempts   = 4096                   // attempts remembered as never to be sent
+	MaxEndedAttempts  = 4096                   // attempts remembered as never to be sent
 	RetryDelay        = 200 * time.Millisecond // after a failed store operation
 	ShardIdle         = 10 * time.Minute       // after which an unused shard is dropped from memory
 	entryOverhead     = 96                     // bytes of an encoded entry without its answer
@@ -75,24 +75,24 @@
 // Writer decides claims and appends them to the logs of the shards. Any instance that is asked acts as writer. It
 // belongs to the control goroutine.
 type Writer struct {
-	nonce  func() Nonce
-	shards [Shards]*shardLog
-	nextOp uint64
-	dead   map[message.AttemptID]struct{}
-	deadQ  []message.AttemptID
-	ops    []Op
-	out    []Outbound
-	Stats  Stats
+	nonce      func() Nonce
+	shards     [Shards]*shardLog
+	nextOp     uint64
+	ended      map[message.AttemptID]struct{} // attempts that are never sent
+	endedOrder []message.AttemptID
+	ops        []Op
+	out        []Outbound
+	Stats      Stats
 }
 
 // NewWriter returns a writer that has read no log. The nonces must be unique.
 func NewWriter(nonce func() Nonce) *Writer {
-	return &Writer{nonce: nonce, dead: make(map[message.AttemptID]struct{})}
+	return &Writer{nonce: nonce, ended: make(map[message.AttemptID]struct{})}
 }
 
 // Claim handles a claim request.
 func (w *Writer) Claim(now state.Instant, from state.InstanceName, m *message.ClaimRequest) {
-	if _, ok := w.dead[m.Attempt]; ok {
+	if _, ok := w.ended[m.Attempt]; ok {
 		w.refuse(from, m)
 		return
 	}
@@ -102,7 +102,7 @@
 // Outcome handles the report of an outcome.
 func (w *Writer) Outcome(now state.Instant, from state.InstanceName, m *message.OutcomeReport) {
 	if m.Outcome.Kind == message.OutcomeNotRun {
-		w.bury(m.Attempt)
+		w.markEnded(m.Attempt)
 	}
 	w.add(now, &item{from: from, outcome: m, at: now, endsAt: now.Add(ReportResendMax)})
 }
@@ -178,17 +178,17 @@
 	return s
 }
 
-// bury remembers that an attempt is never sent, so that a late copy of its request claims nothing.
-func (w *Writer) bury(a message.AttemptID) {
-	if _, ok := w.dead[a]; ok {
+// markEnded remembers that an attempt is never sent, so that a late copy of its request claims nothing.
+func (w *Writer) markEnded(a message.AttemptID) {
+	if _, ok := w.ended[a]; ok {
 		return
 	}
-	if len(w.deadQ) >= MaxDeadAttempts {
-		delete(w.dead, w.deadQ[0])
-		w.deadQ = w.deadQ[1:]
+	if len(w.endedOrder) >= MaxEndedAttempts {
+		delete(w.ended, w.endedOrder[0])
+		w.endedOrder = w.endedOrder[1:]
 	}
-	w.dead[a] = struct{}{}
-	w.deadQ = append(w.deadQ, a)
+	w.ended[a] = struct{}{}
+	w.endedOrder = append(w.endedOrder, a)
 }
 
 func (w *Writer) refuse(to state.InstanceName, m *message.ClaimRequest) {
--- a/coordination/control/claims.go
+++ b/coordination/control/claims.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"context"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurebridge/coordination/admission"
 	"azurebridge/coordination/claims"
 	"azurebridge/coordination/message"
@@ -13,6 +16,9 @@
 // MaxBufferedReports bounds the outcomes that wait for the control goroutine.
 const MaxBufferedReports = 8192
 
+// reportPoll is the time between checks whether outcomes are still unacknowledged.
+const reportPoll = 50 * time.Millisecond
+
 // rankInterval is the time between choices of the writers while the list of instances is the same. An outdated choice is
 // harmless, since any instance may write.
 const rankInterval = time.Second
@@ -140,6 +146,30 @@
 	}
 }
 
+// AwaitReports waits until the outcomes reported so far are in the log, or ctx ends. A planned stop calls it, because an
+// outcome that is lost leaves its key pending.
+func (l *Loop) AwaitReports(ctx context.Context) error {
+	ticker := time.NewTicker(reportPoll)
+	defer ticker.Stop()
+	for {
+		left := make(chan int, 1)
+		if l.Offer(Inspect{Done: func(d *Dump) { left <- d.Outcomes }}) == nil {
+			select {
+			case n := <-left:
+				if n == 0 {
+					return nil
+				}
+			case <-ctx.Done():
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "record outcomes")
+		}
+	}
+}
+
 func (l *Loop) takeReports() {
 	l.mu.Lock()
 	list := l.reports
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -14,6 +14,7 @@
 	Homes     []message.HomeClaim   `json:"homes"`
 	Loads     []state.RegionLoad    `json:"loads"`
 	Held      map[string]int        `json:"held_grants"`
+	Outcomes  int                   `json:"unacknowledged_outcomes"`
 	Home      *message.RegionStatus `json:"home,omitempty"` // set while this instance is home of its region
 	Stats     Stats                 `json:"stats"`
 }
@@ -21,6 +22,7 @@
 func (c *Core) dump(state.Instant) *Dump {
 	d := &Dump{Self: c.self, Revision: c.config.Revision, Leaving: c.leaving, Instances: c.instances, Held: make(map[string]int), Stats: c.Stats}
 	d.Stats.Holder = c.holder.Stats
+	d.Outcomes = c.claims.client.Unacknowledged()
 	d.Stats.ClaimClient, d.Stats.ClaimWriter = c.claims.client.Stats, c.claims.writer.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
--- a/transport/edge/submission_test.go
+++ b/transport/edge/submission_test.go
@@ -38,8 +38,8 @@
 
 func (noPeers) Send(*message.Envelope) {}
 
-// bed is one entry instance with a stand-in store and two backend servers that share a handler.
-type bed struct {
+// fixture is one entry instance with a stand-in store and two backend servers that share a handler.
+type fixture struct {
 	*WithT
 	url   string
 	store atomic.Int32
@@ -48,10 +48,10 @@
 	serve func(n int, w http.ResponseWriter, r *http.Request)
 }
 
-func newBed(t *testing.T, serve func(n int, w http.ResponseWriter, r *http.Request)) *bed {
-	b := &bed{WithT: NewWithT(t), serve: serve}
+func newFixture(t *testing.T, serve func(n int, w http.ResponseWriter, r *http.Request)) *fixture {
+	f := &fixture{WithT: NewWithT(t), serve: serve}
 	store := standin.NewStore(time.Now).Handler()
-	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serveStore(store, w, r) }))
+	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveStore(store, w, r) }))
 	t.Cleanup(storeServer.Close)
 	cfg := &state.Config{
 		Revision: 1, Regions: []state.Region{{Name: "r", MaxRunning: 100}},
@@ -62,7 +62,7 @@
 		Customers: []state.Customer{{Name: "c", Plan: "p"}},
 	}
 	for i := range 2 {
-		s := httptest.NewServer(http.HandlerFunc(b.serveBackend))
+		s := httptest.NewServer(http.HandlerFunc(f.serveBackend))
 		t.Cleanup(s.Close)
 		cfg.Backends = append(cfg.Backends, state.BackendServer{
 			Name: state.BackendName(fmt.Sprintf("b%d", i)), Service: "orders", Region: "r", Slots: 4, MaxConnections: 100,
@@ -77,44 +77,44 @@
 	loop.UseStore(claimLog)
 	claimLog.Run(ctx)
 	go loop.Run(ctx)
-	b.Expect(loop.Offer(control.Configured{Config: cfg})).To(Succeed())
-	b.Eventually(func() state.Revision { return loop.Snapshot().Config.Revision }).Should(BeEquivalentTo(1))
+	f.Expect(loop.Offer(control.Configured{Config: cfg})).To(Succeed())
+	f.Eventually(func() state.Revision { return loop.Snapshot().Config.Revision }).Should(BeEquivalentTo(1))
 	front := httptest.NewServer(edge.New(edge.Options{Control: loop, Backends: backend.New(nil), Log: log}))
 	t.Cleanup(front.Close)
-	b.url = front.URL
+	f.url = front.URL
 	// The home of the region exists after the first tick.
-	b.Eventually(func() string { return b.post("", "warm-up").Outcome }).Should(Equal("ran"))
-	b.calls = nil
-	return b
+	f.Eventually(func() string { return f.post("", "warm-up").Outcome }).Should(Equal("ran"))
+	f.calls = nil
+	return f
 }
 
-func (b *bed) serveStore(store http.Handler, w http.ResponseWriter, r *http.Request) {
-	mode := b.store.Load()
+func (f *fixture) serveStore(store http.Handler, w http.ResponseWriter, r *http.Request) {
+	mode := f.store.Load()
 	if mode == storeDown {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	if mode == storeLosesReplies && r.URL.Path == storeapi.PathCAS {
-		b.store.Store(storeUp)
+		f.store.Store(storeUp)
 		store.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
 	}
 	store.ServeHTTP(w, r)
 }
 
-func (b *bed) serveBackend(w http.ResponseWriter, r *http.Request) {
+func (f *fixture) serveBackend(w http.ResponseWriter, r *http.Request) {
 	data, _ := io.ReadAll(r.Body)
 	if string(data) == "warm-up" {
 		return
 	}
-	b.mu.Lock()
-	b.calls = append(b.calls, r)
-	n := len(b.calls)
-	b.mu.Unlock()
-	b.serve(n, w, r)
+	f.mu.Lock()
+	f.calls = append(f.calls, r)
+	n := len(f.calls)
+	f.mu.Unlock()
+	f.serve(n, w, r)
 }
 
-func (b *bed) called() int { b.mu.Lock(); defer b.mu.Unlock(); return len(b.calls) }
+func (f *fixture) called() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.calls) }
 
 type answer struct {
 	Status            int
@@ -122,14 +122,14 @@
 	RetryAfter, Body  string
 }
 
-func (b *bed) post(key, body string) answer {
-	a, err := b.postContext(context.Background(), key, body)
-	b.Expect(err).NotTo(HaveOccurred())
+func (f *fixture) post(key, body string) answer {
+	a, err := f.postContext(context.Background(), key, body)
+	f.Expect(err).NotTo(HaveOccurred())
 	return a
 }
 
-func (b *bed) postContext(ctx context.Context, key, body string) (answer, error) {
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/orders/new", strings.NewReader(body))
+func (f *fixture) postContext(ctx context.Context, key, body string) (answer, error) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/orders/new", strings.NewReader(body))
 	req.Header.Set(callers.HeaderCustomer, "c")
 	if key != "" {
 		req.Header.Set(callers.HeaderIdempotencyKey, key)
@@ -155,18 +155,18 @@
 
 // Guards against a refused submission being lost, or sent to the server that refused it.
 func TestRefusedSubmissionRunsElsewhere(t *testing.T) {
-	b := newBed(t, func(n int, w http.ResponseWriter, r *http.Request) {
+	f := newFixture(t, func(n int, w http.ResponseWriter, r *http.Request) {
 		if n == 1 {
 			refuseWork(w)
 			return
 		}
 		accept(n, w, r)
 	})
-	b.Expect(b.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Body: "receipt 2"}))
-	addr := func(i int) any { return b.calls[i].Context().Value(http.LocalAddrContextKey) }
-	b.Expect(addr(0)).NotTo(Equal(addr(1)))
-	b.Expect(b.calls[0].Header).NotTo(HaveKey(callers.HeaderIdempotencyKey))
-	b.Expect(b.calls[0].Header.Get(callers.HeaderSubmissionKey)).To(Equal("k"))
+	f.Expect(f.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Body: "receipt 2"}))
+	addr := func(i int) any { return f.calls[i].Context().Value(http.LocalAddrContextKey) }
+	f.Expect(addr(0)).NotTo(Equal(addr(1)))
+	f.Expect(f.calls[0].Header).NotTo(HaveKey(callers.HeaderIdempotencyKey))
+	f.Expect(f.calls[0].Header.Get(callers.HeaderSubmissionKey)).To(Equal("k"))
 }
 
 // Guards against a submission being sent again, or called "not run", after a server may have begun it.
@@ -180,72 +180,72 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed(t, serve)
-			b.Expect(b.post("k", "x")).To(And(HaveField("Status", 502), HaveField("Outcome", "unknown")))
-			b.Expect(b.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
-			b.Expect(b.post("", "x")).To(HaveField("Outcome", "unknown"))
-			b.Expect(b.called()).To(Equal(2))
+			f := newFixture(t, serve)
+			f.Expect(f.post("k", "x")).To(And(HaveField("Status", 502), HaveField("Outcome", "unknown")))
+			f.Expect(f.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
+			f.Expect(f.post("", "x")).To(HaveField("Outcome", "unknown"))
+			f.Expect(f.called()).To(Equal(2))
 		})
 	}
 }
 
 // Guards against a second run for a repeated key, and an answer for a submission that differs.
 func TestRepeatedKey(t *testing.T) {
-	b := newBed(t, accept)
-	b.Expect(b.post("k", "x")).To(HaveField("Body", "receipt 1"))
-	b.Expect(b.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Replayed: "1", Body: "receipt 1"}))
-	b.Expect(b.post("k", "y")).To(And(HaveField("Status", 422), HaveField("Outcome", "not-run")))
-	b.Expect(b.called()).To(Equal(1))
+	f := newFixture(t, accept)
+	f.Expect(f.post("k", "x")).To(HaveField("Body", "receipt 1"))
+	f.Expect(f.post("k", "x")).To(Equal(answer{Status: 200, Outcome: "ran", Replayed: "1", Body: "receipt 1"}))
+	f.Expect(f.post("k", "y")).To(And(HaveField("Status", 422), HaveField("Outcome", "not-run")))
+	f.Expect(f.called()).To(Equal(1))
 }
 
 // Guards against a keyed submission that runs without a record, and a known answer that is lost with the store.
 func TestStoreDown(t *testing.T) {
-	b := newBed(t, accept)
-	b.Expect(b.post("known", "x")).To(HaveField("Outcome", "ran"))
-	b.Eventually(func() string { return b.post("known", "x").Replayed }).Should(Equal("1"))
-	b.store.Store(storeDown)
-	b.Expect(b.post("k", "x")).To(And(HaveField("Status", 503), HaveField("Outcome", "not-run"), HaveField("RetryAfter", "1")))
-	b.Expect(b.post("known", "x")).To(HaveField("Replayed", "1"))
-	b.Expect(b.called()).To(Equal(1))
-	b.Expect(b.post("", "x")).To(HaveField("Body", "receipt 2"))
-	b.store.Store(storeUp)
-	b.Eventually(func() string { return b.post("k", "x").Outcome }, "5s").Should(Equal("ran"))
+	f := newFixture(t, accept)
+	f.Expect(f.post("known", "x")).To(HaveField("Outcome", "ran"))
+	f.Eventually(func() string { return f.post("known", "x").Replayed }).Should(Equal("1"))
+	f.store.Store(storeDown)
+	f.Expect(f.post("k", "x")).To(And(HaveField("Status", 503), HaveField("Outcome", "not-run"), HaveField("RetryAfter", "1")))
+	f.Expect(f.post("known", "x")).To(HaveField("Replayed", "1"))
+	f.Expect(f.called()).To(Equal(1))
+	f.Expect(f.post("", "x")).To(HaveField("Body", "receipt 2"))
+	f.store.Store(storeUp)
+	f.Eventually(func() string { return f.post("k", "x").Outcome }, "5s").Should(Equal("ran"))
 }
 
 // Guards against a claim that is given up although its record was written.
 func TestLostStoreReply(t *testing.T) {
-	b := newBed(t, accept)
-	b.Expect(b.post("first", "x")).To(HaveField("Outcome", "ran"))
-	b.store.Store(storeLosesReplies)
-	b.Expect(b.post("k", "x")).To(HaveField("Body", "receipt 2"))
-	b.Expect(b.post("k", "x")).To(HaveField("Replayed", "1"))
+	f := newFixture(t, accept)
+	f.Expect(f.post("first", "x")).To(HaveField("Outcome", "ran"))
+	f.store.Store(storeLosesReplies)
+	f.Expect(f.post("k", "x")).To(HaveField("Body", "receipt 2"))
+	f.Expect(f.post("k", "x")).To(HaveField("Replayed", "1"))
 }
 
 // Guards against an outcome that is lost because its caller has gone.
 func TestCallerGone(t *testing.T) {
 	finish := make(chan struct{})
 	started := make(chan struct{})
-	b := newBed(t, func(n int, w http.ResponseWriter, r *http.Request) {
+	f := newFixture(t, func(n int, w http.ResponseWriter, r *http.Request) {
 		close(started)
 		<-finish
 		accept(n, w, r)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-started; cancel() }()
-	_, err := b.postContext(ctx, "k", "x")
-	b.Expect(err).To(MatchError(context.Canceled))
-	b.Expect(b.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
+	_, err := f.postContext(ctx, "k", "x")
+	f.Expect(err).To(MatchError(context.Canceled))
+	f.Expect(f.post("k", "x")).To(And(HaveField("Status", 409), HaveField("Outcome", "unknown")))
 	close(finish)
-	b.Eventually(func() answer { return b.post("k", "x") }, "5s").
+	f.Eventually(func() answer { return f.post("k", "x") }, "5s").
 		Should(Equal(answer{Status: 200, Outcome: "ran", Replayed: "1", Body: "receipt 1"}))
-	b.Expect(b.called()).To(Equal(1))
+	f.Expect(f.called()).To(Equal(1))
 }
 
 // Guards against a body that is sent again in part: one that is not kept is sent to one server only.
 func TestLargeSubmissionIsSentOnce(t *testing.T) {
-	b := newBed(t, func(_ int, w http.ResponseWriter, _ *http.Request) { refuseWork(w) })
-	b.Expect(b.post("k", strings.Repeat("x", edge.MaxBufferedBody+1))).To(HaveField("Outcome", "not-run"))
-	b.Expect(b.called()).To(Equal(1))
-	b.Expect(b.post("k", strings.Repeat("x", edge.MaxBufferedBody))).To(HaveField("Outcome", "not-run"))
-	b.Expect(b.called()).To(Equal(3), "a buffered one is tried at both servers")
+	f := newFixture(t, func(_ int, w http.ResponseWriter, _ *http.Request) { refuseWork(w) })
+	f.Expect(f.post("k", strings.Repeat("x", edge.MaxBufferedBody+1))).To(HaveField("Outcome", "not-run"))
+	f.Expect(f.called()).To(Equal(1))
+	f.Expect(f.post("k", strings.Repeat("x", edge.MaxBufferedBody))).To(HaveField("Outcome", "not-run"))
+	f.Expect(f.called()).To(Equal(3), "a buffered one is tried at both servers")
 }
