homelease: add witness promises, candidate lease and witness record

The new cores hold promises (Witness), the lease (Candidate), the record of witnesses (Record) and the store operations on it (Election). They do no I/O; the time is passed in.

Changing the witnesses: each write adds or removes one witness, and needs a majority that has seen the current record, since two replacements in a row allow majorities without a common member. Only a witness that the platform no longer lists may be removed without a home. Ruled out: removing a silent witness without a majority, because a parted witness cannot be told from a dead one.

--- /dev/null
+++ b/coordination/homelease/change.go
@@ -0,0 +1,120 @@
+package homelease
+
+import (
+	"time"
+
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+)
+
+// Time bounds of changes of the witnesses.
+const (
+	// WitnessSilence is how long a witness does not answer the home before it is replaced.
+	WitnessSilence = 3 * time.Second
+	// Homeless is how long there is no home before another member may remove a witness.
+	Homeless = 2 * time.Second
+)
+
+// Propose returns the next record that the home should write, if any. Only a home whose current votes carry the number
+// of the current record may change it; see rule Order of the package.
+func (c *Candidate) Propose(now state.Instant, instances []state.Instance) (Record, bool) {
+	if c.Home(now) == 0 || c.newest > c.record.Number || !c.acknowledged(now) {
+		return Record{}, false
+	}
+	if next := Next(&c.record, instances); next != "" && len(c.record.Witnesses) < MaxWitnesses {
+		return c.record.With(next), true
+	}
+	if now.Sub(c.since) < WitnessSilence {
+		return Record{}, false
+	}
+	for _, w := range c.record.Witnesses {
+		if now.Sub(c.heard[w]) < WitnessSilence && !leaving(w, instances) {
+			continue
+		}
+		// A silent witness stays while nothing can take its place: it may come back, and the smaller set bears no more losses.
+		smaller := c.record.Without(w)
+		if next := Next(&smaller, instances); next != "" && next != w {
+			return smaller, true
+		}
+	}
+	return Record{}, false
+}
+
+// ProposeGone returns the record without a witness that has left the platform's list for good, while there is no home.
+func (c *Candidate) ProposeGone(now state.Instant, rank int, gone func(state.InstanceName) bool, instances []state.Instance) (Record, bool) {
+	if c.record.Number == 0 || c.newest > c.record.Number || c.HomelessFor(now) < Homeless+time.Duration(rank)*Stagger {
+		return Record{}, false
+	}
+	for _, w := range c.record.Witnesses {
+		if !gone(w) {
+			continue
+		}
+		if len(c.record.Witnesses) > 1 {
+			return c.record.Without(w), true
+		}
+		// No process is left that could promise under any earlier record, so that any new set is safe.
+		next := Choose(c.region, instances)
+		next.Number = c.record.Number
+		return next, len(next.Witnesses) > 0
+	}
+	return Record{}, false
+}
+
+// acknowledged reports whether a majority of the witnesses has seen the current record's number.
+func (c *Candidate) acknowledged(now state.Instant) bool {
+	n := 0
+	for _, w := range c.record.Witnesses {
+		if v := c.votes[w]; now.Before(v.until) && v.number >= c.record.Number {
+			n++
+		}
+	}
+	return n >= c.record.Quorum()
+}
+
+func leaving(name state.InstanceName, instances []state.Instance) bool {
+	for i := range instances {
+		if instances[i].Name == name {
+			return instances[i].Status == state.InstanceLeaving
+		}
+	}
+	return false
+}
+
+// WitnessView is a witness as the candidate sees it.
+type WitnessView struct {
+	Name      state.InstanceName `json:"name"`
+	HeardMs   int64              `json:"heard_ms_ago"`
+	VoteEndMs int64              `json:"vote_ends_in_ms"` // 0 when there is no valid vote
+	Number    uint64             `json:"record_seen"`
+}
+
+// CandidateView is the state of a candidate, for dumps.
+type CandidateView struct {
+	Phase       Phase              `json:"phase"`
+	Epoch       message.Epoch      `json:"epoch"`
+	HighestSeen message.Epoch      `json:"highest_epoch_seen"`
+	LeaseLeftMs int64              `json:"lease_left_ms"`
+	Home        state.InstanceName `json:"home"`
+	HomeEpoch   message.Epoch      `json:"home_epoch"`
+	HomeHeardMs int64              `json:"home_heard_ms_ago"`
+	Record      uint64             `json:"record"`
+	Witnesses   []WitnessView      `json:"witnesses"`
+}
+
+// View returns the state for dumps.
+func (c *Candidate) View(now state.Instant) CandidateView {
+	v := CandidateView{
+		Phase: c.phase, Epoch: c.epoch, HighestSeen: c.seen, Home: c.home, HomeEpoch: c.homeEpoch,
+		HomeHeardMs: now.Sub(c.homeAt).Milliseconds(), Record: c.record.Number,
+	}
+	if c.Home(now) != 0 {
+		v.LeaseLeftMs = c.Until().Sub(now).Milliseconds()
+	}
+	for _, w := range c.record.Witnesses {
+		vote := c.votes[w]
+		v.Witnesses = append(v.Witnesses, WitnessView{
+			Name: w, HeardMs: now.Sub(c.heard[w]).Milliseconds(), VoteEndMs: max(0, vote.until.Sub(now).Milliseconds()), Number: vote.number,
+		})
+	}
+	return v
+}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -130,6 +130,8 @@
 	Region state.RegionName
 	Epoch  Epoch
 	SentAt state.Instant // candidate's clock, echoed in VoteReply
+
+	Record uint64 // number of the record of witnesses that the candidate uses
 }
 
 // VoteReply answers a VoteRequest.
@@ -140,6 +142,18 @@
 	Promise Epoch              // highest epoch that the witness has promised
 	Holder  state.InstanceName // to whom it promised that epoch
 	SentAt  state.Instant
+
+	Candidate state.Incarnation // of the process that sent the request
+	Record    uint64            // highest number of the record that the witness has seen
+	Held      bool              // the promise to Holder has not expired
+}
+
+// Resign gives the promises of an epoch back. The sender is home no more. It goes to the witnesses and to the
+// successor, which starts its election at once; it is empty when the sender gives up an election.
+type Resign struct {
+	Region    state.RegionName
+	Epoch     Epoch
+	Successor state.InstanceName
 }
 
 // Heartbeat tells that the sender is alive. Homes exchange heartbeats with homes, members with their home.
@@ -148,6 +162,7 @@
 	Instance state.Instance
 	Revision state.Revision // configuration in force at the sender
 	Homes    []HomeClaim    // who is home where, as the sender knows it
+	Known    uint64         // Version of the receiver's last reply; 0 for none
 }
 
 // HomeClaim says that an instance is home of a region for an epoch.
@@ -163,11 +178,21 @@
 	Revision  state.Revision
 	Homes     []HomeClaim
 	Instances []state.Instance // changes since the sender's last heartbeat, at most MaxInstancesPerReply
+	Version   uint64           // of the sender's table, up to which Instances holds all changes
+	Witnesses Witnesses        // of the sender's region; sent by its home only
+}
+
+// Witnesses is the record of the witnesses of a region.
+type Witnesses struct {
+	Region state.RegionName
+	Number uint64
+	Names  []state.InstanceName
 }
 
 // RegionStatus reports the load of a region from its home.
 type RegionStatus struct {
 	Region     state.RegionName
+	Home       state.InstanceName // that measured it; another home passes it on to its members
 	Epoch      Epoch
 	Running    int
 	MaxRunning int
@@ -263,6 +288,7 @@
 func (*HeldGrantsReply) body() {}
 func (*VoteRequest) body()     {}
 func (*VoteReply) body()       {}
+func (*Resign) body()          {}
 func (*Heartbeat) body()       {}
 func (*HeartbeatReply) body()  {}
 func (*RegionStatus) body()    {}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -52,6 +52,7 @@
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigPull](),
 	reflect.TypeFor[message.ConfigPush](),
+	reflect.TypeFor[message.Resign](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
