membership, control: elect homes by witness votes and keep a table of instances

The home of a region was the instance with the highest rendezvous score of the platform's list, which lags, so that a dead home stayed home. Core now follows the lease of homelease: it grants only while the lease is valid, checked before each event and before messages leave. Store operations are typed work in Ready, run by platform.Worker.

Members send heartbeats to their home and two deputies; homes exchange heartbeats and loads with the homes of other regions and pass them on to their members. The home judges its members by direct evidence (suspect after 1.5 s) and pushes changes at once.

--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -58,9 +58,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	store := platform.New(cfg.Platform.String())
+	worker := platform.NewWorker(store, loop.Offer)
+	loop.UseStore(worker)
+	go worker.Run(ctx)
 	go loop.Run(ctx)
 	go fl.Run(ctx, loop.Offer)
-	feed := &platform.Feed{Client: platform.New(cfg.Platform.String()), Offer: loop.Offer, Log: log.Named("platform")}
+	feed := &platform.Feed{Client: store, Offer: loop.Offer, Log: log.Named("platform")}
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
 	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -6,6 +6,8 @@
 
 import (
 	"azurebridge/coordination/admission"
+	"azurebridge/coordination/homelease"
+	"azurebridge/coordination/membership"
 	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
@@ -44,6 +46,7 @@
 // Ready is the work that the core wants done.
 type Ready struct {
 	Messages []*message.Envelope
+	Store    []StoreOp
 	Snapshot *state.Snapshot // nil when unchanged
 }
 
@@ -53,28 +56,33 @@
 	Received     uint64
 	Misaddressed uint64
 	OldRevisions uint64
+	LostOps      uint64 // store operations that failed
 	Holder       admission.HolderStats
+	Members      membership.Stats
 }
 
 // Core is the control state of one instance. Control goroutine only.
 type Core struct {
-	self      state.Instance
-	config    *state.Config
-	index     *state.Index
-	instances []state.Instance
-	homes     map[state.RegionName]message.HomeClaim
-	loads     map[state.RegionName]state.RegionLoad
-	home      *admission.Home // set while this instance is home of its region
-	holder    *admission.Holder
-	leaving   bool
-	changed   bool
-	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
-	ready     Ready
-	statusAt  state.Instant
-	Stats     Stats
-}
-
-// NewCore returns the control state of an instance that knows only itself.
+	self     state.Instance
+	config   *state.Config
+	index    *state.Index
+	table    *membership.Table
+	election *homelease.Election
+	homes    map[state.RegionName]message.HomeClaim // by region, the claim with the highest epoch
+	loads    map[state.RegionName]state.RegionLoad
+	home     *admission.Home // set while this instance is home of its region
+	epoch    message.Epoch   // of home
+	holder   *admission.Holder
+	beats    beats
+	leaving  bool
+	changed  bool
+	local    []admission.Outbound // messages to this instance itself, handled before Ready returns
+	ready    Ready
+	opID     uint64
+	Stats    Stats
+}
+
+// NewCore returns the control state of a process that starts at the instant 0 of its clock and knows only itself.
 func NewCore(self state.Instance) *Core {
 	c := &Core{
 		self:  self,
@@ -83,7 +91,9 @@
 	}
 	c.config = &state.Config{}
 	c.index = state.NewIndex(c.config)
-	c.instances = []state.Instance{self}
+	c.table = membership.New(0, self)
+	c.election = homelease.NewElection(0, self)
+	c.beats = newBeats()
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.changed = true
 	return c
@@ -92,6 +102,7 @@
 // Step handles one event.
 func (c *Core) Step(now state.Instant, ev Event) {
 	c.Stats.Events++
+	c.followLease(now)
 	switch ev := ev.(type) {
 	case Admit:
 		c.holder.Ask(now, ev.Ask, ev.Asker)
@@ -100,9 +111,11 @@
 	case Configured:
 		c.configure(ev.Config)
 	case Listed:
-		c.list(ev.Instances)
+		c.table.List(now, ev.Instances)
+	case Stored:
+		c.stored(now, ev)
 	case Stopping:
-		c.leaving, c.changed = true, true
+		c.stop(now)
 	case Inspect:
 		ev.Done(c.dump(now))
 	}
@@ -113,16 +126,19 @@
 
 // Tick runs everything that is due.
 func (c *Core) Tick(now state.Instant) {
-	c.electHome(now)
+	c.elect(now)
+	c.table.Tick(now)
 	if c.home != nil {
 		c.home.Tick(now)
 		c.reportStatus(now)
 	}
+	c.beat(now)
 	c.holder.Tick(now)
 }
 
 // Ready returns the work since the last call.
 func (c *Core) Ready(now state.Instant) Ready {
+	c.followLease(now)
 	c.holder.Flush()
 	c.collect()
 	for len(c.local) > 0 {
@@ -133,9 +149,11 @@
 		}
 		c.collect()
 	}
-	if c.changed {
+	c.takeOps()
+	instances := c.table.Instances()
+	if c.table.TakeNews() || c.changed {
 		c.changed = false
-		c.ready.Snapshot = c.snapshot()
+		c.ready.Snapshot = c.snapshot(instances)
 	}
 	r := c.ready
 	c.ready = Ready{}
@@ -148,6 +166,9 @@
 	if c.home != nil {
 		c.post(c.home.TakeOutbound())
 	}
+	for _, o := range c.election.TakeOutbound() {
+		c.post([]admission.Outbound{{To: o.To, Body: o.Body}})
+	}
 }
 
 func (c *Core) post(list []admission.Outbound) {
@@ -168,6 +189,7 @@
 		c.Stats.Misaddressed++
 		return
 	}
+	c.table.Heard(now, e.From, e.Incarnation)
 	c.deliver(now, e.From, e.Incarnation, e.Body)
 }
 
@@ -191,12 +213,14 @@
 		}
 	case *message.HeldGrantsReply:
 		c.holder.Confirm(m)
+	case *message.Heartbeat:
+		c.heartbeat(now, from, m)
+	case *message.HeartbeatReply:
+		c.heartbeatReply(now, from, inc, m)
 	case *message.RegionStatus:
-		c.loads[m.Region] = state.RegionLoad{
-			Region: m.Region, Home: from, Epoch: uint64(m.Epoch), Running: m.Running, MaxRunning: m.MaxRunning,
-			Services: m.Services, ReportedAt: now,
-		}
-		c.changed = true
+		c.regionStatus(now, from, m)
+	default:
+		c.election.Receive(now, from, inc, b)
 	}
 }
 
@@ -214,59 +238,12 @@
 	}
 }
 
-func (c *Core) list(instances []state.Instance) {
-	c.instances = instances
-	c.changed = true
-}
-
-// electHome makes the live instance with the highest rendezvous score the home of each region.
-func (c *Core) electHome(state.Instant) {
-	best := make(map[state.RegionName]uint64)
-	homes := make(map[state.RegionName]message.HomeClaim)
-	for _, in := range c.instances {
-		if in.Status != state.InstanceLive {
-			continue
-		}
-		score := state.RendezvousScore(string(in.Region), string(in.Name))
-		if score >= best[in.Region] {
-			best[in.Region] = score
-			homes[in.Region] = message.HomeClaim{Region: in.Region, Epoch: 1, Home: in.Name}
-		}
-	}
-	c.homes = homes
-	mine := homes[c.self.Region].Home == c.self.Name
-	if mine && c.home == nil {
-		c.home = admission.NewHome(c.self.Region, 1)
-		c.home.ApplyConfig(c.config, c.index)
-	}
-	if !mine {
-		c.home = nil
-	}
-}
-
-// reportStatus sends the load of the region to all instances.
-func (c *Core) reportStatus(now state.Instant) {
-	if now.Sub(c.statusAt) < StatusInterval {
-		return
-	}
-	c.statusAt = now
-	st := c.home.Status()
-	for _, in := range c.instances {
-		c.post([]admission.Outbound{{To: in.Name, Body: st}})
-	}
-}
-
-func (c *Core) homeOf(r state.RegionName) (state.InstanceName, message.Epoch) {
-	h := c.homes[r]
-	return h.Home, h.Epoch
-}
-
-func (c *Core) snapshot() *state.Snapshot {
+func (c *Core) snapshot(instances []state.Instance) *state.Snapshot {
 	loads := make(map[state.RegionName]state.RegionLoad, len(c.loads))
 	for k, v := range c.loads {
 		loads[k] = v
 	}
 	return &state.Snapshot{
-		Self: c.self, Config: c.config, Index: c.index, Instances: c.instances, Loads: loads, Leaving: c.leaving,
+		Self: c.self, Config: c.config, Index: c.index, Instances: instances, Loads: loads, Leaving: c.leaving,
 	}
 }
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -1,6 +1,10 @@
 package control
 
 import (
+	"sort"
+
+	"azurebridge/coordination/homelease"
+	"azurebridge/coordination/membership"
 	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
@@ -10,7 +14,8 @@
 	Self      state.Instance        `json:"self"`
 	Revision  state.Revision        `json:"revision"`
 	Leaving   bool                  `json:"leaving"`
-	Instances []state.Instance      `json:"instances"`
+	Instances []membership.View     `json:"instances"`
+	Election  ElectionDump          `json:"election"`
 	Homes     []message.HomeClaim   `json:"homes"`
 	Loads     []state.RegionLoad    `json:"loads"`
 	Held      map[string]int        `json:"held_grants"`
@@ -18,8 +23,41 @@
 	Stats     Stats                 `json:"stats"`
 }
 
-func (c *Core) dump(state.Instant) *Dump {
-	d := &Dump{Self: c.self, Revision: c.config.Revision, Leaving: c.leaving, Instances: c.instances, Held: make(map[string]int), Stats: c.Stats}
+// ElectionDump is the election of the region's home, and the promises that this instance gave as witness.
+type ElectionDump struct {
+	Candidate homelease.CandidateView `json:"candidate"`
+	Promises  []PromiseDump           `json:"promises"`
+	Refused   uint64                  `json:"refused_requests"`
+}
+
+// PromiseDump is the promise for one region.
+type PromiseDump struct {
+	Region      state.RegionName   `json:"region"`
+	Epoch       message.Epoch      `json:"epoch"`
+	Holder      state.InstanceName `json:"holder"`
+	LeftMs      int64              `json:"left_ms"`
+	Released    bool               `json:"released"`
+	RecordSeen  uint64             `json:"record_seen"`
+	RecordKnown bool               `json:"record_read"` // since the start, from the store
+}
+
+func (c *Core) dumpElection(now state.Instant) ElectionDump {
+	w := c.election.Witness
+	d := ElectionDump{Candidate: c.election.Candidate.View(now), Refused: w.Refused}
+	w.Regions(func(r state.RegionName) {
+		p, number, read := w.Promise(r)
+		d.Promises = append(d.Promises, PromiseDump{
+			Region: r, Epoch: p.Epoch, Holder: p.Holder, LeftMs: max(0, p.Until.Sub(now).Milliseconds()),
+			Released: p.Released, RecordSeen: number, RecordKnown: read,
+		})
+	})
+	sort.Slice(d.Promises, func(i, j int) bool { return d.Promises[i].Region < d.Promises[j].Region })
+	return d
+}
+
+func (c *Core) dump(now state.Instant) *Dump {
+	d := &Dump{Self: c.self, Revision: c.config.Revision, Leaving: c.leaving, Held: make(map[string]int), Stats: c.Stats}
+	d.Instances, d.Election, d.Stats.Members = c.table.Views(now), c.dumpElection(now), c.table.Stats
 	d.Stats.Holder = c.holder.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -28,6 +28,11 @@
 	Send(e *message.Envelope)
 }
 
+// Storer runs store operations and passes their results back as Stored. Store must not block; it counts what it drops.
+type Storer interface {
+	Store(op StoreOp)
+}
+
 // release is a grant to give back.
 type release struct {
 	region state.RegionName
@@ -39,6 +44,7 @@
 	core     *Core
 	clock    func() state.Instant
 	sender   Sender
+	storer   Storer
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -59,6 +65,9 @@
 	return l
 }
 
+// UseStore sets who runs store operations. It is called before Run; without it, operations are dropped.
+func (l *Loop) UseStore(s Storer) { l.storer = s }
+
 // Snapshot returns the current view. It is immutable.
 func (l *Loop) Snapshot() *state.Snapshot { return l.snapshot.Load() }
 
@@ -137,4 +146,10 @@
 	for _, e := range r.Messages {
 		l.sender.Send(e)
 	}
+	if l.storer == nil {
+		return
+	}
+	for _, op := range r.Store {
+		l.storer.Store(op)
+	}
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -160,9 +160,10 @@
 type Heartbeat struct {
 	Seq      uint64
 	Instance state.Instance
-	Revision state.Revision // configuration in force at the sender
-	Homes    []HomeClaim    // who is home where, as the sender knows it
-	Known    uint64         // Version of the receiver's last reply; 0 for none
+	Revision state.Revision    // configuration in force at the sender
+	Homes    []HomeClaim       // who is home where, as the sender knows it
+	Known    uint64            // Version of the receiver's last reply; 0 for none
+	KnownOf  state.Incarnation // of the receiver that sent that reply
 }
 
 // HomeClaim says that an instance is home of a region for an epoch.
--- /dev/null
+++ b/protocol/storeapi/record.go
@@ -0,0 +1,36 @@
+package storeapi
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/homelease"
+	"azurebridge/state"
+)
+
+// record is the stored form of the witnesses of a region.
+type record struct {
+	Witnesses []state.InstanceName `json:"witnesses"`
+}
+
+// EncodeRecord returns the stored form of a record. Its number is the version of the key.
+func EncodeRecord(r *homelease.Record) ([]byte, error) {
+	data, err := json.Marshal(record{Witnesses: r.Witnesses})
+	return data, errors.Wrapf(err, "encode witnesses of %s", r.Region)
+}
+
+// DecodeRecord reads the record of a region from its entry. It returns nil when the key does not exist.
+func DecodeRecord(region state.RegionName, e *Entry) (*homelease.Record, error) {
+	if e.Version == 0 {
+		return nil, nil
+	}
+	var r record
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return nil, errors.Wrapf(err, "decode witnesses of %s", region)
+	}
+	if len(r.Witnesses) == 0 || len(r.Witnesses) > homelease.MaxWitnesses {
+		return nil, errors.Errorf("decode witnesses of %s: %d names", region, len(r.Witnesses))
+	}
+	return &homelease.Record{Region: region, Number: e.Version, Witnesses: r.Witnesses}, nil
+}
--- /dev/null
+++ b/transport/platform/worker.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"context"
+	"sync/atomic"
+
+	"azurebridge/coordination/control"
+	"azurebridge/protocol/storeapi"
+)
+
+// MaxQueuedOps bounds the store operations that wait for a worker.
+const MaxQueuedOps = 64
+
+// Worker runs the store operations of the control goroutine.
+type Worker struct {
+	client  *Client
+	offer   func(control.Event) error
+	queue   chan control.StoreOp
+	Dropped atomic.Uint64 // operations or results dropped because a queue was full
+}
+
+// NewWorker returns a worker that passes results to offer.
+func NewWorker(c *Client, offer func(control.Event) error) *Worker {
+	return &Worker{client: c, offer: offer, queue: make(chan control.StoreOp, MaxQueuedOps)}
+}
+
+// Store queues an operation. It never blocks; the control core repeats what it misses.
+func (w *Worker) Store(op control.StoreOp) {
+	select {
+	case w.queue <- op:
+	default:
+		w.Dropped.Add(1)
+	}
+}
+
+// Run runs operations, one at a time, until ctx ends.
+func (w *Worker) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case op := <-w.queue:
+			if w.offer(w.run(ctx, op)) != nil {
+				w.Dropped.Add(1)
+			}
+		}
+	}
+}
+
+func (w *Worker) run(ctx context.Context, op control.StoreOp) control.Stored {
+	e, err := w.call(ctx, op)
+	if err != nil {
+		return control.Stored{Op: op, Err: err}
+	}
+	r, err := storeapi.DecodeRecord(op.Record.Region, &e)
+	return control.Stored{Op: op, Version: e.Version, Record: r, Err: err}
+}
+
+// call returns the entry as it is after the operation.
+func (w *Worker) call(ctx context.Context, op control.StoreOp) (storeapi.Entry, error) {
+	if op.Kind == control.StoreRead {
+		return w.client.Get(ctx, op.Key)
+	}
+	value, err := storeapi.EncodeRecord(op.Record)
+	if err != nil {
+		return storeapi.Entry{}, err
+	}
+	r, err := w.client.CAS(ctx, storeapi.CASRequest{Key: op.Key, Value: value, Version: op.Version})
+	return r.Current, err
+}
