--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -127,7 +127,10 @@
 // Tick runs everything that is due.
 func (c *Core) Tick(now state.Instant) {
 	c.elect(now)
-	c.table.Tick(now)
+	if now.Sub(c.beats.agedAt) >= ageInterval {
+		c.beats.agedAt = now
+		c.table.Tick(now)
+	}
 	if c.home != nil {
 		c.home.Tick(now)
 		c.reportStatus(now)
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -138,8 +138,8 @@
 
 // regionStatus takes over the load of a region.
 func (c *Core) regionStatus(now state.Instant, from state.InstanceName, m *message.RegionStatus) {
+	c.claim(now, message.HomeClaim{Region: m.Region, Epoch: m.Epoch, Home: m.Home})
 	if m.Home == from {
-		c.claim(now, message.HomeClaim{Region: m.Region, Epoch: m.Epoch, Home: m.Home})
 		c.homeHeard(now, m.Region, from, m.Epoch)
 		if c.home != nil && m.Region != c.self.Region && c.homes[m.Region].Home == from {
 			c.toMembers(m)
--- a/coordination/control/members.go
+++ b/coordination/control/members.go
@@ -11,9 +11,10 @@
 // Bounds of the exchange with other instances.
 const (
 	HeartbeatInterval = time.Second
-	MaxRegions        = 256 // regions whose home and load are kept
-	deputies          = 2   // candidates beside the home that hear each member
-	foreignTries      = 3   // instances of a region without known home that are asked for it
+	MaxRegions        = 256                    // regions whose home and load are kept
+	ageInterval       = 100 * time.Millisecond // between looks at the age of all evidence
+	deputies          = 2                      // candidates beside the home that hear each member
+	foreignTries      = 3                      // instances of a region without known home that are asked for it
 )
 
 // seen is what this instance has of another one's table.
@@ -28,6 +29,7 @@
 	at       state.Instant // last round of heartbeats
 	statusAt state.Instant
 	remoteAt state.Instant
+	agedAt   state.Instant
 	pushed   uint64                        // version of the table that was pushed as home
 	known    map[state.InstanceName]seen   // from replies
 	acked    map[state.InstanceName]uint64 // as home: what each instance said that it has
@@ -99,14 +101,13 @@
 	return out
 }
 
+// claims returns who is home of this region. Homes of other regions are known from their load reports, so that
+// heartbeats stay small with many regions.
 func (c *Core) claims() []message.HomeClaim {
-	out := make([]message.HomeClaim, 0, len(c.homes))
-	for _, h := range c.homes {
-		if h.Home != c.self.Name || c.home != nil {
-			out = append(out, h)
-		}
+	if h, _ := c.homeOf(c.self.Region); h == "" {
+		return nil
 	}
-	return out
+	return []message.HomeClaim{c.homes[c.self.Region]}
 }
 
 // push tells members and other homes of changed instances at once.
