--- a/coordination/control/claims.go
+++ b/coordination/control/claims.go
@@ -19,10 +19,6 @@
 // reportPoll is the time between checks whether outcomes are still unacknowledged.
 const reportPoll = 50 * time.Millisecond
 
-// claimRankInterval is the time between choices of the writers while the list of instances is the same. An outdated choice is
-// harmless, since any instance may write.
-const claimRankInterval = time.Second
-
 // Claim asks for the right to send a submission with an idempotency key.
 type Claim struct {
 	Request *message.ClaimRequest
@@ -35,18 +31,17 @@
 func (Claim) event()     {}
 func (StoreDone) event() {}
 
-// StoreWorker carries out store operations. Submit must not block; it returns false when its queue is full.
-type StoreWorker interface {
+// ClaimStore carries out the store operations of claims. Submit must not block; it returns false when its queue is full.
+type ClaimStore interface {
 	Submit(op claims.Op) bool
 }
 
 // claimCores are the parts of the core that keep idempotency keys.
 type claimCores struct {
-	client   *claims.Client
-	writer   *claims.Writer
-	writers  [claims.Shards]state.InstanceName
-	ranked   []state.Instance // the list from which writers was chosen
-	rankedAt state.Instant
+	client  *claims.Client
+	writer  *claims.Writer
+	writers [claims.Shards]state.InstanceName
+	ranked  []state.Instance // the list from which writers was chosen
 }
 
 func (c *Core) initClaims() {
@@ -55,21 +50,27 @@
 
 // writerOf returns the live instance with the highest rendezvous score for a shard.
 func (c *Core) writerOf(s claims.Shard) state.InstanceName {
-	if len(c.claims.ranked) != len(c.instances) || len(c.instances) > 0 && &c.claims.ranked[0] != &c.instances[0] {
+	if !sameList(c.claims.ranked, c.table.Instances()) {
 		c.rankWriters()
 	}
 	return c.claims.writers[s]
 }
 
+// sameList reports whether two lists of the table are the same, which is never changed in place.
+func sameList(a, b []state.Instance) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // rankWriters chooses the writers of all shards.
 func (c *Core) rankWriters() {
-	c.claims.ranked = c.instances
+	instances := c.table.Instances()
+	c.claims.ranked = instances
 	for s := range c.claims.writers {
 		key := "claims/" + strconv.Itoa(s)
 		var best state.InstanceName
 		var high uint64
-		for i := range c.instances {
-			in := &c.instances[i]
+		for i := range instances {
+			in := &instances[i]
 			if in.Status != state.InstanceLive {
 				continue
 			}
@@ -95,10 +96,6 @@
 func (c *Core) Report(now state.Instant, m *message.OutcomeReport) { c.claims.client.Report(now, m) }
 
 func (c *Core) tickClaims(now state.Instant) {
-	if now.Sub(c.claims.rankedAt) >= claimRankInterval { // the entries of the list may have changed in place
-		c.claims.rankedAt = now
-		c.rankWriters()
-	}
 	c.claims.client.Tick(now)
 	c.claims.writer.Tick(now)
 }
@@ -124,11 +121,11 @@
 			c.post([]admission.Outbound{admission.Outbound(o)})
 		}
 	}
-	c.ready.Store = append(c.ready.Store, c.claims.writer.TakeOps()...)
+	c.ready.Claims = append(c.ready.Claims, c.claims.writer.TakeOps()...)
 }
 
-// UseStore sets the worker for store operations. It must be called before Run.
-func (l *Loop) UseStore(w StoreWorker) { l.store = w }
+// UseClaimStore sets the worker for the store operations of claims. It must be called before Run.
+func (l *Loop) UseClaimStore(w ClaimStore) { l.claims = w }
 
 // Report takes over the outcome of an attempt. It never waits; past MaxBufferedReports the outcome is dropped and counted,
 // and its key stays pending.
@@ -180,10 +177,10 @@
 	}
 }
 
-// runStore hands store operations to the worker. One that the worker does not take was not done.
-func (l *Loop) runStore(ops []claims.Op) {
+// runClaims hands store operations to the worker. One that the worker does not take was not done.
+func (l *Loop) runClaims(ops []claims.Op) {
 	for _, op := range ops {
-		if l.store != nil && l.store.Submit(op) {
+		if l.claims != nil && l.claims.Submit(op) {
 			continue
 		}
 		l.Dropped.Add(1)
--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"azurebridge/coordination/admission"
 	"azurebridge/coordination/message"
@@ -10,12 +9,6 @@
 	"azurebridge/state"
 )
 
-// rankInterval is the longest time between two looks at the list of instances for the choice of readers.
-const rankInterval = time.Second
-
-// maxLearned bounds the instances known without a list.
-const maxLearned = 64
-
 // Configured brings an accepted and decoded configuration: accepted by this instance, read from the store, or received
 // from an instance. Without Item it takes effect here and is not passed on.
 type Configured struct {
@@ -64,10 +57,8 @@
 
 // configState is the part of the core that deals with configurations.
 type configState struct {
-	core     *rollout.Core
-	ranked   *state.Instance // first entry of the list that was ranked last, to notice a new list
-	rankedAt state.Instant
-	listed   bool // a list of instances has arrived
+	core   *rollout.Core
+	ranked []state.Instance // the list that the rollout has
 }
 
 func newConfigState(self state.Instance) configState { return configState{core: rollout.New(self)} }
@@ -103,9 +94,9 @@
 
 func (c *Core) tickConfig(now state.Instant) {
 	s := &c.rollout
-	if len(c.instances) > 0 && (s.ranked != &c.instances[0] || now.Sub(s.rankedAt) >= rankInterval) {
-		s.ranked, s.rankedAt = &c.instances[0], now
-		s.core.Members(now, c.instances)
+	if list := c.table.Instances(); !sameList(s.ranked, list) {
+		s.ranked = list
+		s.core.Members(now, list)
 	}
 	s.core.Tick(now)
 }
@@ -113,7 +104,7 @@
 func (c *Core) deliverConfig(now state.Instant, from state.InstanceName, b message.Body) {
 	switch m := b.(type) {
 	case *message.ConfigOffer:
-		c.learn(from, m.Sender)
+		c.learn(now, from, m.Sender)
 		c.rollout.core.Offer(now, from, m)
 	case *message.ConfigPull:
 		c.rollout.core.Pull(from, m)
@@ -123,18 +114,11 @@
 }
 
 // learn adds an instance that sent an offer while no list of instances has arrived, so that an instance which starts
-// during an outage of the platform can answer its peers. The list replaces what was learned.
-func (c *Core) learn(from state.InstanceName, sender *state.Instance) {
-	if c.rollout.listed || sender == nil || sender.Name != from || len(c.instances) >= maxLearned {
-		return
+// during an outage of the platform can answer its peers.
+func (c *Core) learn(now state.Instant, from state.InstanceName, sender *state.Instance) {
+	if !c.table.Complete() && sender != nil && sender.Name == from {
+		c.table.Announced(now, *sender)
 	}
-	for i := range c.instances {
-		if c.instances[i].Name == from {
-			return
-		}
-	}
-	c.instances = append(append([]state.Instance(nil), c.instances...), *sender)
-	c.changed = true
 }
 
 func (c *Core) collectConfig() {
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -28,6 +28,11 @@
 	Send(e *message.Envelope)
 }
 
+// Storer runs store operations and passes their results back as Stored. Store must not block; it counts what it drops.
+type Storer interface {
+	Store(op StoreOp)
+}
+
 // release is a grant to give back.
 type release struct {
 	region state.RegionName
@@ -40,7 +45,8 @@
 	clock    func() state.Instant
 	sender   Sender
 	configs  ConfigWorker // nil until SetConfigWorker
-	store    StoreWorker
+	claims   ClaimStore   // nil until UseClaimStore
+	storer   Storer       // nil until UseStore
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -62,6 +68,9 @@
 	return l
 }
 
+// UseStore sets who runs store operations. It is called before Run; without it, operations are dropped.
+func (l *Loop) UseStore(s Storer) { l.storer = s }
+
 // Snapshot returns the current view. It is immutable.
 func (l *Loop) Snapshot() *state.Snapshot { return l.snapshot.Load() }
 
@@ -148,5 +157,16 @@
 		l.sender.Send(e)
 	}
 	l.handConfig(r.Config)
+	l.runClaims(r.Claims)
 	l.runStore(r.Store)
 }
+
+// runStore hands store operations to the worker, which counts what it drops; the election repeats what it misses.
+func (l *Loop) runStore(ops []StoreOp) {
+	if l.storer == nil {
+		return
+	}
+	for _, op := range ops {
+		l.storer.Store(op)
+	}
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -53,6 +53,7 @@
 	reflect.TypeFor[message.ConfigPull](),
 	reflect.TypeFor[message.ConfigPush](),
 	reflect.TypeFor[message.OutcomeAck](),
+	reflect.TypeFor[message.Resign](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
--- a/transport/platform/claimlog_test.go
+++ b/transport/platform/claimlog_test.go
@@ -62,6 +62,9 @@
 	create.Lease = 0
 	g.Expect(do(create).Status).To(Equal(claims.OpUnknown))
 	g.Expect(do(claims.Op{Kind: claims.OpList}).Status).To(Equal(claims.OpNotDone))
+	// A new client has no pooled connection on which the request could have been sent before it was found closed.
+	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
+	l = NewClaimLog(New(address), nil, hclog.NewNullLogger())
 	g.Expect(do(create).Status).To(Equal(claims.OpNotDone), "nothing was sent")
 }
