edge: answer "unknown" to a keyed submission whose key cannot be looked up

Cause: with the store down, a repeat of a key whose first request had run was answered "not run", because this request was not sent. The invariant speaks of the submission. Ruled out: "not run" for keys that the writer does not remember, since another writer may have granted them. TestStoreDown failed with "unknown" against the expected "not-run"; its expectation was wrong by the invariant and is replaced by one that is as strict.

--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -260,14 +260,14 @@
 	}
 	t := newClaimTicket()
 	if m.opts.Control.Offer(control.Claim{Request: req, Waiter: t}) != nil {
-		m.refuse(w, message.RefusedBusy, time.Second, nil)
+		m.unprovable(w, string(message.RefusedBusy))
 		return false
 	}
 	waiting, stop := context.WithDeadline(s.caller, s.expires)
 	defer stop()
 	reply, ok := t.wait(waiting)
 	if !ok {
-		m.refuse(w, message.RefusedTimeout, 0, context.Cause(waiting))
+		m.unprovable(w, string(message.RefusedTimeout))
 		return false
 	}
 	if reply.Status != message.ClaimGranted {
@@ -299,13 +299,20 @@
 		callers.WriteProblem(w, p, 0)
 		return
 	case message.ClaimUncertain:
-		p.Reason = "claim_uncertain"
+		m.unprovable(w, "claim_uncertain")
 	default:
-		p.Reason = "claim_unavailable"
+		m.unprovable(w, "claim_unavailable")
 	}
-	m.Stats.Refused.Add(1)
-	p.Status, p.Detail = http.StatusServiceUnavailable, "the idempotency key cannot be recorded at present"
-	callers.WriteProblem(w, p, time.Second)
+}
+
+// unprovable answers a keyed submission whose key could not be looked up. This request was not sent, but one with the same
+// key may have run before, so "not run" would not be proved (invariant not-run-is-true).
+func (m *Manager) unprovable(w http.ResponseWriter, reason string) {
+	m.Stats.Unknown.Add(1)
+	callers.WriteProblem(w, callers.Problem{
+		Status: http.StatusServiceUnavailable, Reason: reason, Outcome: callers.OutcomeUnknown, Step: "claim",
+		Detail: "this request was not sent; whether an earlier one with the same key ran cannot be looked up at present",
+	}, time.Second)
 }
 
 // replay answers with the recorded answer of an earlier attempt.
