admission, retry: count every limit at the home; fair queues; health of servers; takeover

The home counted only slots and the region limit, served each service first come first served, and added any reported grant to its counters. A report that arrived after its grants had lapsed made a server run more than its slots.

The home now checks region, customer share and burst, link rate and shift cap with its ramp when it grants. Waiting requests are kept per service, customer and set of limits, so one that is blocked does not delay others. Servers are chosen by share of busy slots, then warmth, then latency, with warm-up, ejection, probes, and lower slots after a shed. Retries draw on a budget of a tenth of first attempts. A new home collects the grants of its predecessor before it grants, or takes them over from one that resigned.

The holder kept one lease per region that began at the request. A reply that came late, or after a wait in the queue, was used beyond the home's count or was fenced at once. The lease is now per grant, from the echoed send time plus the time in the queue. Replies name the holder's incarnation, because a restarted process uses the same identifiers. Renewals list only identifiers of grants that the home knows already.

--- /dev/null
+++ b/coordination/admission/customer.go
@@ -0,0 +1,275 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	"azurebridge/coordination/message"
+	"azurebridge/coordination/retry"
+	"azurebridge/state"
+)
+
+// LentReturn is the time within which lent slots must be expected to come back to the customers that own them.
+const LentReturn = time.Second
+
+// Assumed times that a slot is held, in seconds, until requests have been measured.
+const (
+	assumedShortHold = 0.05
+	assumedLongHold  = 10
+	holdAlpha        = 1.0 / 32
+	medianStep       = 1.0 / 32 // relative step of the running estimate of the median
+	minWeight        = 0.1      // percent; share of a customer without a guaranteed share, when customers compete
+)
+
+// pool is the state of one service in the region.
+type pool struct {
+	name     state.ServiceName
+	servers  []*server
+	slots    int // of the servers in use
+	running  int
+	queued   int
+	listed   bool // in Home.waiting
+	accounts map[state.CustomerName]*account
+	ready    accountHeap
+	parked   []*account // have waiting requests that a limit of their own blocks; oldest first
+	budget   *retry.Budget
+	unused   int // sum of the guaranteed slots that their customers don't use
+
+	hold     float64 // smoothed mean time that a slot is held, in seconds
+	holdP50  float64
+	median   float64 // of the servers' smoothed latencies, in seconds
+	judgedAt state.Instant
+	scratch  []float64
+}
+
+// account is the use of one service by one customer.
+type account struct {
+	pool       *pool
+	customer   state.CustomerName
+	allowed    bool    // the plan has the service in this region
+	weight     float64 // share in percent, for the order of customers that compete
+	guaranteed int     // slots
+	burst      int     // slots
+	running    int
+	queued     int
+	lanes      []*lane
+	oldest     uint64 // sequence number of the oldest waiting request
+	index      int    // in pool.ready; -1 when not there
+	refused    map[message.Refusal]uint64
+}
+
+// laneKey names what a waiting request needs beyond a slot. Requests with equal keys wait in order; a request never
+// waits for one with another key.
+type laneKey struct {
+	link  *link
+	shift *shift
+	rate  int64
+	retry bool // excludes servers
+}
+
+// lane is the queue of one customer's requests that meet the same limits.
+type lane struct {
+	key     laneKey
+	waiters []*waiter
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	key     grantKey
+	request *message.GrantRequest
+	account *account
+	lane    *lane
+	seq     uint64
+	since   state.Instant
+	expires state.Instant
+	index   int // in Home.deadlines
+}
+
+// accountHeap orders customers by running requests per share, then by the age of their oldest request.
+type accountHeap []*account
+
+func (q accountHeap) Len() int { return len(q) }
+
+func (q accountHeap) Less(i, j int) bool {
+	a, b := float64(q[i].running)*q[j].weight, float64(q[j].running)*q[i].weight
+	if a != b {
+		return a < b
+	}
+	return q[i].oldest < q[j].oldest
+}
+
+func (q accountHeap) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *accountHeap) Push(x any) {
+	a := x.(*account)
+	a.index = len(*q)
+	*q = append(*q, a)
+}
+
+// Pop implements heap.Interface.
+func (q *accountHeap) Pop() any {
+	old := *q
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	a.index = -1
+	return a
+}
+
+// deadlineHeap orders waiting requests by the end of their wait.
+type deadlineHeap []*waiter
+
+func (q deadlineHeap) Len() int           { return len(q) }
+func (q deadlineHeap) Less(i, j int) bool { return q[i].expires < q[j].expires }
+
+func (q deadlineHeap) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *deadlineHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+
+// Pop implements heap.Interface.
+func (q *deadlineHeap) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return w
+}
+
+func newPool(name state.ServiceName) *pool {
+	return &pool{name: name, accounts: make(map[state.CustomerName]*account), budget: retry.NewBudget()}
+}
+
+func (p *pool) account(name state.CustomerName) *account {
+	a := p.accounts[name]
+	if a == nil {
+		a = &account{pool: p, customer: name, index: -1, weight: minWeight, refused: make(map[message.Refusal]uint64)}
+		p.accounts[name] = a
+	}
+	return a
+}
+
+// started counts a grant of the customer.
+func (a *account) started() {
+	if a.running < a.guaranteed {
+		a.pool.unused--
+	}
+	a.running++
+	a.reorder()
+}
+
+// ended counts the end of a grant.
+func (a *account) ended() {
+	a.running--
+	if a.running < a.guaranteed {
+		a.pool.unused++
+	}
+	a.reorder()
+}
+
+func (a *account) reorder() {
+	if a.index >= 0 {
+		heap.Fix(&a.pool.ready, a.index)
+	}
+}
+
+// mayLend reports whether a customer beyond its guaranteed slots may get one more: the guaranteed slots that others
+// don't use must be free, or expected to become free within LentReturn.
+func (p *pool) mayLend() bool {
+	back := float64(p.running) * min(1, LentReturn.Seconds()/p.hold)
+	if float64(p.unused) <= back {
+		return true
+	}
+	free := 0
+	for _, s := range p.servers {
+		if !s.drained && !s.ejected {
+			free += max(0, s.config.Slots-s.running)
+		}
+	}
+	return float64(free-1) >= float64(p.unused)-back
+}
+
+// observeHold takes the time that a slot was held into account.
+func (p *pool) observeHold(d time.Duration) {
+	v := d.Seconds()
+	p.hold += (v - p.hold) * holdAlpha
+	switch {
+	case p.holdP50 == 0:
+		p.holdP50 = v
+	case v > p.holdP50:
+		p.holdP50 *= 1 + medianStep
+	case v < p.holdP50:
+		p.holdP50 *= 1 - medianStep
+	}
+}
+
+// push puts a request at the end of its lane. It returns nil when the customer has too many lanes.
+func (a *account) push(w *waiter, key laneKey) *lane {
+	var l *lane
+	for _, x := range a.lanes {
+		if x.key == key {
+			l = x
+			break
+		}
+	}
+	if l == nil {
+		if len(a.lanes) >= MaxLanes {
+			return nil
+		}
+		l = &lane{key: key}
+		a.lanes = append(a.lanes, l)
+	}
+	w.account, w.lane = a, l
+	l.waiters = append(l.waiters, w)
+	a.queued++
+	a.pool.queued++
+	if a.queued == 1 {
+		a.oldest = w.seq
+		heap.Push(&a.pool.ready, a)
+	}
+	return l
+}
+
+// remove takes a request out of its lane.
+func (a *account) remove(w *waiter) {
+	l := w.lane
+	for i, x := range l.waiters {
+		if x == w {
+			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
+			break
+		}
+	}
+	a.queued--
+	a.pool.queued--
+	a.oldest = ^uint64(0)
+	kept := a.lanes[:0]
+	for _, x := range a.lanes {
+		if len(x.waiters) > 0 {
+			kept = append(kept, x)
+			a.oldest = min(a.oldest, x.waiters[0].seq)
+		}
+	}
+	for i := len(kept); i < len(a.lanes); i++ {
+		a.lanes[i] = nil
+	}
+	a.lanes = kept
+	if a.queued > 0 {
+		a.reorder()
+		return
+	}
+	if a.index >= 0 {
+		heap.Remove(&a.pool.ready, a.index)
+	}
+	// A parked account without requests leaves the list when it is next examined.
+}
--- a/coordination/admission/home.go
+++ b/coordination/admission/home.go
@@ -1,37 +1,18 @@
-// Package admission decides which requests may run in a region and on which backend server.
-//
-// Home counts every limit of one region at one place, so that the sum of what instances use stays at or under each
-// limit. Holder is the other side: it asks homes for grants, keeps those that the instance uses, and cancels the
-// requests of grants that it can no longer renew. Both are cores without I/O: they take typed messages and the
-// current time, and return messages to send.
 package admission
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
 	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
 
-// Time bounds of grants.
-const (
-	// GrantLease is how long a holder may use its grants after it sent the last confirmed renewal.
-	GrantLease = time.Second
-	// GrantMargin is added by the home before it frees grants that were not renewed. It covers clock drift of 10%.
-	GrantMargin = GrantLease / 10
-	// RenewInterval is the time between renewals of held grants.
-	RenewInterval = 200 * time.Millisecond
-)
-
-// MaxQueued bounds the requests that wait for a slot of one service in one region.
-const MaxQueued = 1024
+// MaxWait bounds the time that a request may wait in a home's queue.
+const MaxWait = time.Minute
 
-// Outbound is a message to send.
-type Outbound struct {
-	To   state.InstanceName
-	Body message.Body
-}
+// PeerMemory is how long a home remembers an instance that uses nothing, to recognise repeated messages.
+const PeerMemory = time.Minute
 
 // grantKey identifies a grant in the whole fleet.
 type grantKey struct {
@@ -40,153 +21,242 @@
 	id          message.GrantID
 }
 
-// grant is a request that runs.
+// grant is a request that runs. It keeps what it was counted under, so that a change of configuration between its start
+// and its end cannot leave a counter behind.
 type grant struct {
-	request message.HeldGrant
+	held    message.HeldGrant
+	server  *server
+	account *account
+	link    *link
+	shift   *shift
+	given   state.Instant
 	expires state.Instant
+	probe   bool
+	taken   bool // from a predecessor; given is unknown
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	key     grantKey
-	request *message.GrantRequest
-	expires state.Instant
+// peer is what the home knows of one incarnation of an entry instance.
+type peer struct {
+	seq     uint64          // of the last HeldGrants
+	nextID  message.GrantID // requests with a lower identifier are over
+	grants  map[message.GrantID]*grant
+	waiting map[message.GrantID]*waiter
+	heardAt state.Instant
 }
 
-// server is the state of one backend server.
-type server struct {
-	config  *state.BackendServer
-	drained bool
-	running int
+// peerKey names one incarnation of an entry instance.
+type peerKey struct {
+	name        state.InstanceName
+	incarnation state.Incarnation
 }
 
-// pool is the state of one service in the region.
-type pool struct {
-	servers []*server
-	queue   []waiter
-	running int
+// HomeStats counts what the home did.
+type HomeStats struct {
+	Granted  uint64
+	Lapsed   uint64 // grants freed because their lease ended
+	Lost     uint64 // reported grants that the home had given up
+	Outdated uint64 // messages of an earlier epoch, sequence number or incarnation
+	Refused  map[message.Refusal]uint64
 }
 
 // Home grants requests for one region. It belongs to the control goroutine of the home instance.
 type Home struct {
-	region  state.RegionName
-	epoch   message.Epoch
-	index   *state.Index
-	pools   map[state.ServiceName]*pool
-	servers map[state.BackendName]*server
-	grants  map[grantKey]*grant
-	running int
-	out     []Outbound
+	region         state.RegionName
+	epoch          message.Epoch
+	index          *state.Index
+	maxRunning     int // 0 means no limit
+	pools          map[state.ServiceName]*pool
+	servers        map[state.BackendName]*server
+	links          map[state.RegionName]*link
+	shifts         map[state.ShiftName]*shift
+	shiftsFrom     map[state.RegionName]*shift
+	drainedRegions map[state.RegionName]bool
+	peers          map[peerKey]*peer
+	newest         map[state.InstanceName]state.Incarnation
+	waiting        []*pool // pools with waiting requests
+	cursor         int     // in waiting, where the next round of a full region begins
+	deadlines      deadlineHeap
+	running        int
+	seq            uint64
+	now            state.Instant
+	takeover       takeover
+	out            []Outbound
+	Stats          HomeStats
 }
 
-// NewHome returns the home of a region for one epoch.
+// NewHome returns the home of a region for one epoch. The home of the first epoch grants at once. A later one first
+// collects the grants of its predecessor; call Expect to say which instances may hold some.
 func NewHome(region state.RegionName, epoch message.Epoch) *Home {
-	return &Home{
+	h := &Home{
 		region:  region,
 		epoch:   epoch,
+		index:   state.NewIndex(&state.Config{}),
 		pools:   make(map[state.ServiceName]*pool),
 		servers: make(map[state.BackendName]*server),
-		grants:  make(map[grantKey]*grant),
-	}
-}
-
-// ApplyConfig takes a newly accepted configuration into use. Running grants stay.
-func (h *Home) ApplyConfig(c *state.Config, x *state.Index) {
-	h.index = x
-	pools := make(map[state.ServiceName]*pool)
-	servers := make(map[state.BackendName]*server)
-	for i := range c.Backends {
-		b := &c.Backends[i]
-		if b.Region != h.region {
-			continue
-		}
-		s := h.servers[b.Name]
-		if s == nil {
-			s = &server{}
-		}
-		s.config, s.drained = b, c.Drained(b)
-		servers[b.Name] = s
-		p := pools[b.Service]
-		if p == nil {
-			p = &pool{}
-			if old := h.pools[b.Service]; old != nil {
-				p.queue, p.running = old.queue, old.running
-			}
-			pools[b.Service] = p
-		}
-		p.servers = append(p.servers, s)
+		links:   make(map[state.RegionName]*link),
+		shifts:  make(map[state.ShiftName]*shift),
+		peers:   make(map[peerKey]*peer),
+		newest:  make(map[state.InstanceName]state.Incarnation),
 	}
-	h.pools, h.servers = pools, servers
+	h.Stats.Refused = make(map[message.Refusal]uint64)
+	h.takeover.collecting = epoch > 1
+	return h
 }
 
 // Request handles a request for a grant. The answer may come later, when a slot is free or the wait is over.
 func (h *Home) Request(now state.Instant, from state.InstanceName, inc state.Incarnation, r *message.GrantRequest) {
+	h.advance(now)
 	key := grantKey{from, inc, r.ID}
-	if g := h.grants[key]; g != nil { // repeated message
-		h.reply(from, r.ID, g.request.Backend, message.RefusedNone)
+	if h.takeover.resigned {
+		h.reply(key, r.SentAt, message.GrantReply{Refusal: message.RefusedNotHome})
 		return
 	}
-	p := h.pools[r.Service]
-	if p == nil || h.index.Customer[r.Customer] == nil {
-		h.reply(from, r.ID, "", message.RefusedUnknown)
+	pr := h.peer(from, inc)
+	if pr == nil || r.ID < pr.nextID || pr.waiting[r.ID] != nil {
+		h.Stats.Outdated++
 		return
 	}
-	if s := p.pick(r.Exclude); s != nil && len(p.queue) == 0 && h.hasRoom() {
-		h.grant(now, key, r, p, s)
+	if g := pr.grants[r.ID]; g != nil { // repeated message
+		if h.leads(now) {
+			g.expires = now.Add(GrantLease + GrantMargin)
+			h.reply(key, r.SentAt, message.GrantReply{Backend: g.held.Backend})
+		}
+		return
+	}
+	a, lk, why := h.classify(now, r)
+	if why != message.RefusedNone {
+		h.refuse(now, key, r.SentAt, why, a, lk)
 		return
 	}
-	if len(p.queue) >= MaxQueued {
-		h.reply(from, r.ID, "", message.RefusedQueueFull)
+	if a.pool.queued == 0 && h.tryGrant(now, key, r, a, lk, 0) {
 		return
 	}
-	p.queue = append(p.queue, waiter{key: key, request: r, expires: now.Add(r.Wait)})
+	h.enqueue(now, pr, key, r, a, lk)
 }
 
-// Release takes grants back and serves waiting requests.
-func (h *Home) Release(now state.Instant, from state.InstanceName, inc state.Incarnation, m *message.GrantRelease) {
-	for _, r := range m.Releases {
-		h.free(grantKey{from, inc, r.ID})
+// classify finds the limits that a request counts under, or why it is refused at once.
+func (h *Home) classify(now state.Instant, r *message.GrantRequest) (*account, laneKey, message.Refusal) {
+	p := h.pools[r.Service]
+	if p == nil || h.index.Customer[r.Customer] == nil {
+		return nil, laneKey{}, message.RefusedUnknown
 	}
-	h.serveAll(now)
+	if h.index.Region[r.EntryRegion] == nil && r.EntryRegion != h.region {
+		return nil, laneKey{}, message.RefusedUnknown
+	}
+	a := p.account(r.Customer)
+	s, ok := h.shiftFor(r.EntryRegion, r.Shift)
+	lk := laneKey{shift: s, retry: len(r.Exclude) > 0}
+	if r.EntryRegion != h.region && r.Rate > 0 {
+		lk.link, lk.rate = h.linkTo(r.EntryRegion), r.Rate
+	}
+	if !ok {
+		return a, lk, message.RefusedShift
+	}
+	if why := h.never(r, a, lk); why != message.RefusedNone {
+		return a, lk, why
+	}
+	if at, ok := p.opensAt(now); !ok || now.Add(r.Wait).Before(at) {
+		return a, lk, message.RefusedNoBackend
+	}
+	if lk.retry && !p.budget.Retry(now) {
+		return a, lk, message.RefusedRetry
+	}
+	return a, lk, message.RefusedNone
 }
 
-// Held renews the grants of one holder and frees those that it no longer uses.
-func (h *Home) Held(now state.Instant, from state.InstanceName, inc state.Incarnation, m *message.HeldGrants) {
-	listed := make(map[message.GrantID]bool, len(m.Grants))
-	for _, g := range m.Grants {
-		listed[g.ID] = true
-		key := grantKey{from, inc, g.ID}
-		if h.grants[key] == nil {
-			h.add(key, g)
+// enqueue lets a request wait, or refuses it when it does not want to wait or the queue is full.
+func (h *Home) enqueue(now state.Instant, pr *peer, key grantKey, r *message.GrantRequest, a *account, lk laneKey) {
+	p := a.pool
+	why := message.RefusedNone
+	switch {
+	case r.Wait <= 0:
+		why = h.reason(now, a, lk)
+	case p.queued >= MaxQueued || a.queued >= MaxQueuedPerCustomer:
+		why = message.RefusedQueueFull
+	}
+	if why == message.RefusedNone {
+		h.seq++
+		w := &waiter{key: key, request: r, seq: h.seq, since: now, expires: now.Add(min(r.Wait, MaxWait))}
+		if a.push(w, lk) != nil {
+			pr.waiting[r.ID] = w
+			heap.Push(&h.deadlines, w)
+			h.list(p)
+			h.serve(now, p)
+			return
 		}
-		h.grants[key].expires = now.Add(GrantLease + GrantMargin)
+		why = message.RefusedQueueFull
+	}
+	if lk.retry {
+		p.budget.Refund()
+	}
+	h.refuse(now, key, r.SentAt, why, a, lk)
+}
+
+// reason says why a request that is not granted waits.
+func (h *Home) reason(now state.Instant, a *account, lk laneKey) message.Refusal {
+	if h.takeover.collecting {
+		return message.RefusedNotHome
+	}
+	why := h.blocked(now, a, lk)
+	if why != message.RefusedNone && (why != message.RefusedCustomer || a.pool.pick(now, nil) != nil) {
+		return why
+	}
+	if at, ok := a.pool.opensAt(now); !ok || now.Before(at) {
+		return message.RefusedNoBackend
+	}
+	return message.RefusedTimeout
+}
+
+// Release takes grants back and serves waiting requests.
+func (h *Home) Release(now state.Instant, from state.InstanceName, inc state.Incarnation, m *message.GrantRelease) {
+	h.advance(now)
+	pr := h.peers[peerKey{from, inc}]
+	if pr == nil || h.takeover.resigned {
+		return
 	}
-	for key := range h.grants {
-		if key.holder == from && key.incarnation == inc && key.id < m.NextID && !listed[key.id] {
-			h.free(key)
+	for i := range m.Releases {
+		r := &m.Releases[i]
+		g := pr.grants[r.ID]
+		if g == nil || g.held.Backend != r.Backend {
+			continue
+		}
+		if g.server != nil {
+			g.server.record(now, r, g.probe)
 		}
+		if g.account != nil && !g.taken && r.Result == message.ResultOK {
+			g.account.pool.observeHold(now.Sub(g.given))
+		}
+		h.freeAndServe(now, pr, g)
 	}
-	h.out = append(h.out, Outbound{from, &message.HeldGrantsReply{Region: h.region, Epoch: h.epoch, Seq: m.Seq, SentAt: m.SentAt}})
-	h.serveAll(now)
 }
 
-// Tick frees lapsed grants and refuses requests that waited too long.
+// Tick frees lapsed grants, ends the collection of grants, and refuses requests that waited too long.
 func (h *Home) Tick(now state.Instant) {
-	for key, g := range h.grants {
-		if g.expires.Before(now) {
-			h.free(key)
-		}
+	h.advance(now)
+	if h.takeover.resigned {
+		return
 	}
-	for _, p := range h.pools {
-		kept := p.queue[:0]
-		for _, w := range p.queue {
-			if w.expires.Before(now) {
-				h.reply(w.key.holder, w.key.id, "", message.RefusedTimeout)
-				continue
+	for k, pr := range h.peers {
+		for _, g := range pr.grants {
+			if g.expires.Before(now) {
+				h.Stats.Lapsed++
+				h.free(pr, g)
 			}
-			kept = append(kept, w)
 		}
-		p.queue = kept
+		if len(pr.grants) == 0 && len(pr.waiting) == 0 {
+			h.forgetPeer(now, k, pr)
+		}
+	}
+	for len(h.deadlines) > 0 && h.deadlines[0].expires.Before(now) {
+		w := h.deadlines[0]
+		if w.lane.key.retry {
+			w.account.pool.budget.Refund()
+		}
+		h.refuse(now, w.key, w.request.SentAt, h.reason(now, w.account, w.lane.key), w.account, w.lane.key)
+		h.drop(w)
+	}
+	for _, p := range h.pools {
+		p.judge(now)
 	}
 	h.serveAll(now)
 }
@@ -198,107 +268,53 @@
 	return out
 }
 
-// Status reports the load of the region.
-func (h *Home) Status() *message.RegionStatus {
-	st := &message.RegionStatus{Region: h.region, Epoch: h.epoch, Running: h.running}
-	if r := h.index.Region[h.region]; r != nil {
-		st.MaxRunning = r.MaxRunning
-	}
-	for name, p := range h.pools {
-		load := state.ServiceLoad{Service: name, Running: p.running, Queued: len(p.queue)}
-		for _, s := range p.servers {
-			if !s.drained {
-				load.Slots += s.config.Slots
-			}
-		}
-		st.Services = append(st.Services, load)
-	}
-	sort.Slice(st.Services, func(i, j int) bool { return st.Services[i].Service < st.Services[j].Service })
-	return st
-}
-
-func (h *Home) hasRoom() bool {
-	r := h.index.Region[h.region]
-	return r == nil || r.MaxRunning == 0 || h.running < r.MaxRunning
-}
-
-func (h *Home) serveAll(now state.Instant) {
-	for _, p := range h.pools {
-		h.serve(now, p)
-	}
-}
-
-// serve grants waiting requests in order while slots and limits allow it.
-func (h *Home) serve(now state.Instant, p *pool) {
-	for len(p.queue) > 0 && h.hasRoom() {
-		w := p.queue[0]
-		s := p.pick(w.request.Exclude)
-		if s == nil {
-			return
-		}
-		p.queue = p.queue[1:]
-		h.grant(now, w.key, w.request, p, s)
+// peer returns the record of an incarnation, nil when a later incarnation has been seen.
+func (h *Home) peer(name state.InstanceName, inc state.Incarnation) *peer {
+	if inc < h.newest[name] {
+		return nil
 	}
+	h.newest[name] = inc
+	pr := h.record(peerKey{name, inc})
+	pr.heardAt = h.now
+	return pr
 }
 
-func (h *Home) grant(now state.Instant, key grantKey, r *message.GrantRequest, _ *pool, s *server) {
-	h.add(key, message.HeldGrant{
-		ID: r.ID, Service: r.Service, Customer: r.Customer, Backend: s.config.Name,
-		Entry: r.EntryRegion, Shift: r.Shift, Rate: r.Rate,
-	})
-	h.grants[key].expires = now.Add(GrantLease + GrantMargin)
-	h.reply(key.holder, r.ID, s.config.Name, message.RefusedNone)
-}
-
-func (h *Home) add(key grantKey, g message.HeldGrant) {
-	h.grants[key] = &grant{request: g}
-	h.running++
-	if p := h.pools[g.Service]; p != nil {
-		p.running++
+// forgetPeer drops an earlier incarnation, or an instance that has been silent for long.
+func (h *Home) forgetPeer(now state.Instant, k peerKey, pr *peer) {
+	newest := h.newest[k.name] == k.incarnation
+	if newest && now.Sub(pr.heardAt) < PeerMemory {
+		return
 	}
-	if s := h.servers[g.Backend]; s != nil {
-		s.running++
+	if newest {
+		delete(h.newest, k.name)
 	}
+	delete(h.peers, k)
 }
 
-func (h *Home) free(key grantKey) {
-	g := h.grants[key]
-	if g == nil {
-		return
-	}
-	delete(h.grants, key)
-	h.running--
-	if p := h.pools[g.request.Service]; p != nil {
-		p.running--
-	}
-	if s := h.servers[g.request.Backend]; s != nil {
-		s.running--
+func (h *Home) record(k peerKey) *peer {
+	pr := h.peers[k]
+	if pr == nil {
+		pr = &peer{grants: make(map[message.GrantID]*grant), waiting: make(map[message.GrantID]*waiter)}
+		h.peers[k] = pr
 	}
+	return pr
 }
 
-func (h *Home) reply(to state.InstanceName, id message.GrantID, b state.BackendName, why message.Refusal) {
-	h.out = append(h.out, Outbound{to, &message.GrantReply{ID: id, Region: h.region, Epoch: h.epoch, Backend: b, Refusal: why}})
+// advance keeps the latest time seen, so that configuration changes, which carry no time, have one.
+func (h *Home) advance(now state.Instant) {
+	h.now = max(h.now, now)
+	h.finishTakeover(now)
 }
 
-// pick returns the server with the lowest share of busy slots, or nil when none has a free slot.
-func (p *pool) pick(exclude []state.BackendName) *server {
-	var best *server
-	for _, s := range p.servers {
-		if s.drained || s.running >= s.config.Slots || contains(exclude, s.config.Name) {
-			continue
-		}
-		if best == nil || s.running*best.config.Slots < best.running*s.config.Slots {
-			best = s
-		}
+func (h *Home) refuse(now state.Instant, key grantKey, sentAt state.Instant, why message.Refusal, a *account, lk laneKey) {
+	h.Stats.Refused[why]++
+	if a != nil {
+		a.refused[why]++
 	}
-	return best
+	h.reply(key, sentAt, message.GrantReply{Refusal: why, After: h.after(now, why, a, lk)})
 }
 
-func contains(list []state.BackendName, name state.BackendName) bool {
-	for _, n := range list {
-		if n == name {
-			return true
-		}
-	}
-	return false
+func (h *Home) reply(key grantKey, sentAt state.Instant, m message.GrantReply) {
+	m.ID, m.Region, m.Epoch, m.Holder, m.SentAt = key.id, h.region, h.epoch, key.incarnation, sentAt
+	h.out = append(h.out, Outbound{key.holder, &m})
 }
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -175,7 +175,7 @@
 	switch m := b.(type) {
 	case *message.GrantRequest:
 		if c.home == nil || m.Region != c.self.Region {
-			c.post([]admission.Outbound{{To: from, Body: &message.GrantReply{ID: m.ID, Region: m.Region, Refusal: message.RefusedNotHome}}})
+			c.post([]admission.Outbound{{To: from, Body: &message.GrantReply{ID: m.ID, Region: m.Region, Refusal: message.RefusedNotHome, Holder: inc, SentAt: m.SentAt}}})
 			return
 		}
 		c.home.Request(now, from, inc, m)
@@ -190,7 +190,7 @@
 			c.home.Held(now, from, inc, m)
 		}
 	case *message.HeldGrantsReply:
-		c.holder.Confirm(m)
+		c.holder.Confirm(now, from, m)
 	case *message.RegionStatus:
 		c.loads[m.Region] = state.RegionLoad{
 			Region: m.Region, Home: from, Epoch: uint64(m.Epoch), Running: m.Running, MaxRunning: m.MaxRunning,
@@ -250,7 +250,7 @@
 		return
 	}
 	c.statusAt = now
-	st := c.home.Status()
+	st := c.home.Summary()
 	for _, in := range c.instances {
 		c.post([]admission.Outbound{{To: in.Name, Body: st}})
 	}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -36,6 +36,7 @@
 	Rate        int64            // bytes per second to reserve for the response body on the link Region to EntryRegion
 	Wait        time.Duration    // longest time to queue for a slot
 	Exclude     []state.BackendName
+	SentAt      state.Instant // sender's clock, echoed in GrantReply
 }
 
 // GrantReply answers a GrantRequest.
@@ -46,6 +47,10 @@
 	Backend state.BackendName // empty when refused
 	Refusal Refusal
 	After   time.Duration // hint when to ask again; set with a refusal
+	// Holder is the incarnation that asked. A restarted instance uses the same identifiers again.
+	Holder state.Incarnation
+	SentAt state.Instant // of the request that is answered
+	Waited time.Duration // time in the home's queue, on the home's clock
 }
 
 // Refusal says why a grant was refused. A refused request has not run.
@@ -65,7 +70,9 @@
 	RefusedTimeout   Refusal = "queue_timeout"
 	RefusedNoBackend Refusal = "no_backend" // no backend server of the service takes new requests
 	RefusedBusy      Refusal = "control_busy"
-	RefusedNoHome    Refusal = "no_home" // no home of the region answered
+	RefusedNoHome    Refusal = "no_home"      // no home of the region answered
+	RefusedRetry     Refusal = "retry_budget" // too many retries for the first attempts of the service
+	RefusedHolder    Refusal = "holder_limit" // the entry instance has as many asks or grants as it may have
 )
 
 // Result says how a granted request ended, as far as the choice of backend server is concerned.
@@ -114,15 +121,18 @@
 	Seq    uint64
 	SentAt state.Instant // sender's clock, echoed in HeldGrantsReply
 	NextID GrantID       // grants with a lower ID that are not listed are no longer used
-	Grants []HeldGrant
+	Grants []HeldGrant   // grants that this home has not yet confirmed
+	Known  []GrantID     // the others; the home has their details
 }
 
 // HeldGrantsReply confirms a HeldGrants. The sender may use its grants until SentAt plus the grant lease.
 type HeldGrantsReply struct {
 	Region state.RegionName
 	Epoch  Epoch
-	Seq    uint64
+	Seq    uint64 // 0 when the report named another epoch and confirms nothing
 	SentAt state.Instant
+	Holder state.Incarnation // that reported
+	Lost   []GrantID         // reported grants that the home has given up; the sender must not use them
 }
 
 // VoteRequest asks a witness to promise the candidate to be the only home of the region for one lease.
@@ -172,6 +182,10 @@
 	Running    int
 	MaxRunning int
 	Services   []state.ServiceLoad
+	Collecting bool // the home waits for the grants of its predecessor and grants nothing
+	Links      []state.LinkLoad
+	Shifts     []state.ShiftLoad
+	Refused    []state.RefusalCount
 }
 
 // ClaimKey is the hash of customer, service and idempotency key.
@@ -253,7 +267,9 @@
 const (
 	MaxOutcomeBody       = 4 << 10 // bytes
 	MaxInstancesPerReply = 128     // instances
-	MaxHeldGrants        = 512     // grants in one HeldGrants
+	MaxHeldGrants        = 512     // grants that one instance holds in one region
+	MaxReleases          = 256     // releases in one GrantRelease
+	MaxHandover          = 256     // grants in one GrantHandover
 )
 
 func (*GrantRequest) body()    {}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -52,6 +52,7 @@
 	reflect.TypeFor[message.ConfigOffer](),
 	reflect.TypeFor[message.ConfigPull](),
 	reflect.TypeFor[message.ConfigPush](),
+	reflect.TypeFor[message.GrantHandover](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -1,10 +1,6 @@
 package state
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // InstanceStatus is what is known of an instance.
 type InstanceStatus string
@@ -28,26 +24,6 @@
 	Status        InstanceStatus
 }
 
-// RegionLoad is the load of one region as its home last reported it.
-type RegionLoad struct {
-	Region     RegionName
-	Home       InstanceName
-	Epoch      uint64
-	Running    int
-	MaxRunning int
-	Services   []ServiceLoad
-	ReportedAt Instant // when the report arrived, on the reader's clock
-}
-
-// ServiceLoad is the load of one service in one region.
-type ServiceLoad struct {
-	Service    ServiceName
-	Slots      int // slots of backend servers that take new requests
-	Running    int
-	Queued     int
-	ServiceP50 time.Duration // median time that a slot is held; 0 when unknown
-}
-
 // Index holds look-up tables that are derived from a Config.
 type Index struct {
 	Service  map[ServiceName]*Service
