--- a/coordination/admission/fixture_test.go
+++ b/coordination/admission/fixture_test.go
@@ -47,7 +47,7 @@
 
 func (c *client) ask(now state.Instant, r message.GrantRequest) message.GrantID {
 	c.next++
-	r.ID = c.next
+	r.ID, r.Region = c.next, "east"
 	if r.Service == "" {
 		r.Service = "search"
 	}
--- a/coordination/admission/home.go
+++ b/coordination/admission/home.go
@@ -107,7 +107,7 @@
 func (h *Home) Request(now state.Instant, from state.InstanceName, inc state.Incarnation, r *message.GrantRequest) {
 	h.advance(now)
 	key := grantKey{from, inc, r.ID}
-	if h.takeover.resigned {
+	if h.takeover.resigned || r.Region != h.region {
 		h.reply(key, r.SentAt, message.GrantReply{Refusal: message.RefusedNotHome})
 		return
 	}
@@ -211,7 +211,7 @@
 func (h *Home) Release(now state.Instant, from state.InstanceName, inc state.Incarnation, m *message.GrantRelease) {
 	h.advance(now)
 	pr := h.peers[peerKey{from, inc}]
-	if pr == nil || h.takeover.resigned {
+	if pr == nil || h.takeover.resigned || m.Region != h.region {
 		return
 	}
 	for i := range m.Releases {
--- a/coordination/admission/takeover.go
+++ b/coordination/admission/takeover.go
@@ -98,7 +98,7 @@
 // or with their lease.
 func (h *Home) Held(now state.Instant, from state.InstanceName, inc state.Incarnation, m *message.HeldGrants) {
 	h.advance(now)
-	if !h.leads(now) {
+	if !h.leads(now) || m.Region != h.region {
 		return
 	}
 	reply := &message.HeldGrantsReply{Region: h.region, Epoch: h.epoch, SentAt: m.SentAt, Holder: inc}
