admission: probe each second while most servers of a service are ejected

When more than half of the servers are ejected the cause is not in the single server. The backoff then stays at 1 s, which costs one probe per server and second.

--- a/coordination/admission/backend.go
+++ b/coordination/admission/backend.go
@@ -111,10 +111,29 @@
 
 func (s *server) eject(now state.Instant) {
 	s.backoff = min(max(2*s.backoff, ejectFirst), ejectMax)
+	if s.pool.mostlyEjected() {
+		s.backoff = ejectFirst
+	}
 	s.ejected, s.until, s.failures = true, now.Add(s.backoff), 0
 	s.warming, s.coldSince = false, false
 }
 
+// mostlyEjected reports whether more than half of the servers in use are ejected. The cause then lies with something that
+// they share, and all of them return together: they are probed each ejectFirst, so that the service returns in time.
+func (p *pool) mostlyEjected() bool {
+	ejected, used := 0, 0
+	for _, s := range p.servers {
+		if s.drained {
+			continue
+		}
+		used++
+		if s.ejected {
+			ejected++
+		}
+	}
+	return 2*ejected > used
+}
+
 func (s *server) observe(d time.Duration) {
 	v := d.Seconds()
 	if m := s.pool.median; m > 0 {
@@ -139,6 +158,11 @@
 		return
 	}
 	p.judgedAt = now
+	if p.mostlyEjected() {
+		for _, s := range p.servers {
+			s.until = min(s.until, now.Add(ejectFirst))
+		}
+	}
 	known := p.scratch[:0]
 	for _, s := range p.servers {
 		if s.samples >= slowSamples {
--- a/coordination/admission/backend_test.go
+++ b/coordination/admission/backend_test.go
@@ -140,3 +140,22 @@
 	g.Expect(retries).To(BeNumerically(">=", 100))
 	g.Expect(refused).To(Equal(1000 - retries))
 }
+
+// Guards against a service that stays away for the longest backoff after all its servers failed together.
+func TestServersThatFailTogetherReturnSoon(t *testing.T) {
+	g := NewWithT(t)
+	cl := &client{h: newTestHome(nil)}
+	down := func(state.BackendName) message.Result { return message.ResultFailed }
+	for now := state.Instant(0); now < 60000*ms; now += 10 * ms {
+		cl.h.Tick(now)
+		cl.run(now, down, quick)
+	}
+	served := 0
+	for now := 60000 * ms; now < 61500*ms; now += 10 * ms {
+		cl.h.Tick(now)
+		if cl.run(now, ok, quick) != "" {
+			served++
+		}
+	}
+	g.Expect(served).To(BeNumerically(">=", 45))
+}
