admission: let a customer with a small share run on an idle service

When the guaranteed slots of others covered all slots, a customer whose share rounds down to none was refused although nothing ran: the check asked for more free slots than there are. Services that hold slots for up to 100 ms now always lend, since every slot is back within LentReturn, and each customer may run one request when a slot is free. The new test fails without the change (0 grants of 4).

An ask refused with not_home now waits at most GrantTimeout for another home when it has another region left.

--- a/coordination/admission/customer.go
+++ b/coordination/admission/customer.go
@@ -225,10 +225,10 @@
 // mayLend reports whether a customer beyond its guaranteed slots may get one more: the guaranteed slots that others
 // don't use must be free, or expected to become free within LentReturn.
 func (p *pool) mayLend(now state.Instant) bool {
-	back := float64(p.running)
-	if p.hold > shortHold {
-		back = min(back, returnCaution*float64(p.releases.lastSecond(now)))
+	if p.hold <= shortHold {
+		return true
 	}
+	back := min(float64(p.running), returnCaution*float64(p.releases.lastSecond(now)))
 	if float64(p.unused) <= back {
 		return true
 	}
--- a/coordination/admission/holder.go
+++ b/coordination/admission/holder.go
@@ -179,8 +179,12 @@
 	}
 	if m.Backend == "" {
 		if m.Refusal == message.RefusedNotHome {
-			// The deadline bounds the asking; Tick sends again, at once when another home becomes known.
+			// Tick sends again, at once when another home becomes known. With another region left to ask, that is not
+			// worth the whole wait.
 			p.refused(m.Refusal, m.After)
+			if p.next+1 < len(p.ask.Regions) {
+				p.deadline = min(p.deadline, now.Add(GrantTimeout))
+			}
 			return
 		}
 		o.askNext(now, m.ID, p, m.Refusal, m.After)
--- a/coordination/admission/limits.go
+++ b/coordination/admission/limits.go
@@ -116,7 +116,8 @@
 		return message.RefusedLink
 	case key.shift != nil && key.shift.running >= key.shift.allowed(now):
 		return message.RefusedShift
-	case a.running >= a.guaranteed && !a.pool.mayLend(now):
+	case a.running >= max(1, a.guaranteed) && !a.pool.mayLend(now):
+		// A customer whose share rounds down to no slot may still run one request when a slot is free.
 		return message.RefusedCustomer
 	}
 	return message.RefusedNone
--- a/coordination/admission/limits_test.go
+++ b/coordination/admission/limits_test.go
@@ -148,6 +148,23 @@
 	g.Expect(held).To(HaveLen(2))
 }
 
+// Guards against a customer with a small share that an idle service refuses, because all slots are guaranteed to others.
+func TestSmallShareRunsOnIdleService(t *testing.T) {
+	for service, want := range map[state.ServiceName]int{"search": 4, "tapes": 1} {
+		g := NewWithT(t)
+		cl := &client{h: newTestHome(func(c *state.Config) {
+			small := c.Plans[0]
+			small.Name, small.Services = "tiny", []state.PlanService{
+				{Service: "search", BurstPercent: 100}, {Service: "tapes", BurstPercent: 100},
+			}
+			c.Plans = append(c.Plans, small)
+			c.Customers = append(c.Customers, state.Customer{Name: "third", Plan: "tiny"})
+		})}
+		granted, _ := cl.fill(0, message.GrantRequest{Service: service, Customer: "third"})
+		g.Expect(granted).To(HaveLen(want))
+	}
+}
+
 // Guards against counters that stay behind when the configuration changes while grants run.
 func TestServerThatLeavesAndReturnsStaysCounted(t *testing.T) {
 	g := NewWithT(t)
