--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -71,8 +71,9 @@
 	election *homelease.Election
 	homes    map[state.RegionName]message.HomeClaim // by region, the claim with the highest epoch
 	loads    map[state.RegionName]state.RegionLoad
-	home     *admission.Home // set while this instance is home of its region
-	epoch    message.Epoch   // of home
+	home     *admission.Home          // set while this instance is home of its region
+	epoch    message.Epoch            // of home
+	handed   []*message.GrantHandover // from a home that resigned, until this instance is its successor
 	holder   *admission.Holder
 	beats    beats
 	rollout  configState
@@ -211,7 +212,7 @@
 	switch m := b.(type) {
 	case *message.GrantRequest:
 		if c.home == nil || m.Region != c.self.Region {
-			c.post([]admission.Outbound{{To: from, Body: &message.GrantReply{ID: m.ID, Region: m.Region, Refusal: message.RefusedNotHome}}})
+			c.post([]admission.Outbound{{To: from, Body: &message.GrantReply{ID: m.ID, Region: m.Region, Refusal: message.RefusedNotHome, Holder: inc, SentAt: m.SentAt}}})
 			return
 		}
 		c.home.Request(now, from, inc, m)
@@ -225,8 +226,10 @@
 		if c.home != nil && m.Region == c.self.Region {
 			c.home.Held(now, from, inc, m)
 		}
+	case *message.GrantHandover:
+		c.handOver(now, m)
 	case *message.HeldGrantsReply:
-		c.holder.Confirm(m)
+		c.holder.Confirm(now, from, m)
 	case *message.Heartbeat:
 		c.heartbeat(now, from, m)
 	case *message.HeartbeatReply:
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -17,6 +17,9 @@
 // event and before messages are handed out, so that no grant leaves after the lease has ended.
 func (c *Core) followLease(now state.Instant) {
 	epoch := c.election.Candidate.Home(now)
+	if c.home != nil {
+		c.home.SetLease(c.election.Candidate.Until())
+	}
 	if epoch == c.epoch {
 		return
 	}
@@ -28,8 +31,15 @@
 	}
 	previous := c.homes[c.self.Region].Home
 	c.claim(now, message.HomeClaim{Region: c.self.Region, Epoch: epoch, Home: c.self.Name})
+	// The home waits until all grants of its predecessor are handed over or have lapsed. Naming the instances that may
+	// hold some would not be safe: this instance may not know all that were alive a second ago.
 	c.home = admission.NewHome(c.self.Region, epoch)
+	c.home.SetLease(c.election.Candidate.Until())
 	c.home.ApplyConfig(c.config, c.index)
+	for _, m := range c.handed {
+		c.home.Import(now, m)
+	}
+	c.handed = nil
 	c.table.Judge(now, true, previous)
 	c.beats.statusAt, c.beats.remoteAt = now.Add(-time.Hour), now.Add(-time.Hour)
 }
@@ -63,10 +73,27 @@
 		return
 	}
 	c.collect() // what was granted so far
+	for _, m := range c.home.Resign(now) {
+		c.post([]admission.Outbound{{To: next, Body: m}})
+	}
+	c.collect() // refusals of what waited
 	c.election.Candidate.Resign(now, next)
 	c.followLease(now)
 }
 
+// maxHandedParts bounds the parts of a handover that wait for this instance to become home.
+const maxHandedParts = 64
+
+// handOver takes a part of the grants of a home that resigned in favour of this instance.
+func (c *Core) handOver(now state.Instant, m *message.GrantHandover) {
+	switch {
+	case c.home != nil:
+		c.home.Import(now, m)
+	case m.Region == c.self.Region && len(c.handed) < maxHandedParts:
+		c.handed = append(c.handed, m)
+	}
+}
+
 // successor returns the first live candidate of the region other than this instance.
 func (c *Core) successor() state.InstanceName {
 	for _, n := range c.candidates(c.self.Region, false) {
@@ -113,7 +140,7 @@
 		return
 	}
 	c.beats.statusAt = now
-	st := c.home.Status()
+	st := c.home.Summary()
 	st.Home = c.self.Name
 	c.toMembers(st)
 	if now.Sub(c.beats.remoteAt) < time.Duration(len(c.homes))*remoteStatusStep {
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -54,6 +54,7 @@
 	reflect.TypeFor[message.ConfigPush](),
 	reflect.TypeFor[message.OutcomeAck](),
 	reflect.TypeFor[message.Resign](),
+	reflect.TypeFor[message.GrantHandover](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
