admission: keep counting the grants of a paused holder

Cause: a home freed a grant 1.1 s after the last renewal. Ruled out: longer leases, which only move the moment. Change: a lapsed grant is counted until the holder reports without it, a later process reports, the process is proved gone (its operators' address refuses a connection), or the request's deadline or LapsedLimit (30 s) has passed. Open: a new home after a crash does not know the grants of a holder that was paused at that moment.

--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -44,7 +44,8 @@
 	}
 	self := state.Instance{
 		Name: cfg.Name, Incarnation: state.NewIncarnation(time.Now()), Region: cfg.Region, Domain: cfg.Domain,
-		CallerAddress: cfg.Callers.String(), FleetAddress: cfg.Fleetwork.String(), Status: state.InstanceLive,
+		CallerAddress: cfg.Callers.String(), FleetAddress: cfg.Fleetwork.String(),
+		OperatorsAddress: cfg.Operators.String(), Status: state.InstanceLive,
 	}
 	var loop *control.Loop
 	fl, err := fleet.New(fleet.Options{
@@ -69,6 +70,9 @@
 	worker := platform.NewWorker(client, loop.Offer)
 	loop.UseStore(worker)
 	go worker.Run(ctx)
+	prober := fleet.NewProber(loop.Offer)
+	loop.UseProber(prober)
+	prober.Run(ctx)
 	claimLog.Run(ctx)
 	go loop.Run(ctx)
 	go fl.Run(ctx, loop.Offer)
--- a/coordination/admission/home.go
+++ b/coordination/admission/home.go
@@ -31,6 +31,7 @@
 	shift   *shift
 	given   state.Instant
 	expires state.Instant
+	lapsed  bool
 	probe   bool
 	taken   bool // from a predecessor; given is unknown
 }
@@ -42,6 +43,8 @@
 	grants  map[message.GrantID]*grant
 	waiting map[message.GrantID]*waiter
 	heardAt state.Instant
+	// suspectAt is when evidence about the incarnation was last asked for.
+	suspectAt state.Instant
 }
 
 // peerKey names one incarnation of an entry instance.
@@ -53,7 +56,9 @@
 // HomeStats counts what the home did.
 type HomeStats struct {
 	Granted  uint64
-	Lapsed   uint64 // grants freed because their lease ended
+	Lapsed   uint64 // grants whose lease ended; they are still counted
+	GivenUp  uint64 // lapsed grants freed because their requests cannot run any more
+	Freed    uint64 // grants freed because their holder is gone
 	Lost     uint64 // reported grants that the home had given up
 	Outdated uint64 // messages of an earlier epoch, sequence number or incarnation
 	Refused  map[message.Refusal]uint64
@@ -80,6 +85,7 @@
 	seq            uint64
 	now            state.Instant
 	takeover       takeover
+	suspects       []Suspect
 	out            []Outbound
 	Stats          HomeStats
 }
@@ -118,7 +124,7 @@
 	}
 	if g := pr.grants[r.ID]; g != nil { // repeated message
 		if h.leads(now) {
-			g.expires = now.Add(GrantLease + GrantMargin)
+			g.confirm(now)
 			h.reply(key, r.SentAt, message.GrantReply{Backend: g.held.Backend})
 		}
 		return
@@ -239,8 +245,7 @@
 	for k, pr := range h.peers {
 		for _, g := range pr.grants {
 			if g.expires.Before(now) {
-				h.Stats.Lapsed++
-				h.free(pr, g)
+				h.lapse(now, k, pr, g)
 			}
 		}
 		if len(pr.grants) == 0 && len(pr.waiting) == 0 {
--- /dev/null
+++ b/coordination/admission/lapsed_test.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+)
+
+// Guards against a region that is overloaded while a holder is paused past its lease: its requests still run at the
+// backend servers, so what they use must not be granted to others before there is proof that they have ended.
+func TestPausedHolderKeepsItsRequestsCounted(t *testing.T) {
+	limit := func(c *state.Config) { c.Regions[0].MaxRunning = 3 }
+	deadline := func(c *state.Config) { limit(c); c.Services[0].Deadline = 2 * time.Second }
+	report := func(h *Home, now state.Instant) {
+		h.Held(now, "i1", 1, &message.HeldGrants{Region: "east", Epoch: 1, Seq: 1, NextID: 100})
+	}
+	for _, c := range []struct {
+		name   string
+		config func(*state.Config)
+		proof  func(h *Home, now state.Instant)
+		at     state.Instant // of the proof
+		freed  bool
+	}{
+		{"no proof", limit, func(*Home, state.Instant) {}, 5000 * ms, false},
+		{"the holder reports without them", limit, report, 5000 * ms, true},
+		{"the holder is gone", limit, func(h *Home, now state.Instant) { h.Gone(now, Suspect{"i1", 1}) }, 1200 * ms, true},
+		{"an earlier process is gone", limit, func(h *Home, now state.Instant) { h.Gone(now, Suspect{"i1", 0}) }, 1200 * ms, false},
+		{"before the deadline", deadline, func(*Home, state.Instant) {}, 3050 * ms, false},
+		{"past the deadline", deadline, func(*Home, state.Instant) {}, 3110 * ms, true},
+		{"past the limit", limit, func(*Home, state.Instant) {}, 1110*ms + state.Instant(LapsedLimit), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := &client{h: newTestHome(c.config)}
+			held, _ := cl.fill(0, message.GrantRequest{})
+			g.Expect(held).To(HaveLen(3))
+			cl.h.Tick(1150 * ms)
+			g.Expect(cl.h.TakeSuspects()).To(ConsistOf(Suspect{"i1", 1}))
+			c.proof(cl.h, c.at)
+			cl.h.Tick(c.at)
+			cl.h.Request(c.at, "i2", 1, &message.GrantRequest{ID: 1, Region: "east", Service: "search", Customer: "small", EntryRegion: "east", Wait: time.Second})
+			g.Expect(cl.replies()[1] != nil).To(Equal(c.freed))
+			g.Expect(cl.h.Status().Running <= 3).To(BeTrue())
+		})
+	}
+}
--- a/coordination/admission/takeover.go
+++ b/coordination/admission/takeover.go
@@ -133,7 +133,7 @@
 }
 
 // renew extends the listed grants, frees the others, and returns the listed ones that are not counted here. A grant that
-// lapsed is never counted again: its slot may have been given to somebody else.
+// was freed is never counted again: its slot may have been given to somebody else.
 func (h *Home) renew(now state.Instant, pr *peer, m *message.HeldGrants) []message.GrantID {
 	var lost []message.GrantID
 	listed := make(map[message.GrantID]bool, len(m.Grants)+len(m.Known))
@@ -147,13 +147,13 @@
 		case g == nil || g.held.Backend != held.Backend:
 			lost = append(lost, held.ID)
 		default:
-			g.expires = now.Add(GrantLease + GrantMargin)
+			g.confirm(now)
 		}
 	}
 	for _, id := range m.Known {
 		listed[id] = true
 		if g := pr.grants[id]; g != nil {
-			g.expires = now.Add(GrantLease + GrantMargin)
+			g.confirm(now)
 		} else {
 			lost = append(lost, id)
 		}
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -44,6 +44,7 @@
 type Ready struct {
 	Messages []*message.Envelope
 	Store    []StoreOp
+	Probes   []Probe
 	Claims   []claims.Op     // each needs a StoreDone
 	Snapshot *state.Snapshot // nil when unchanged
 	Config   ConfigWork
@@ -56,6 +57,7 @@
 	Misaddressed uint64
 	OldRevisions uint64
 	LostOps      uint64 // store operations that failed
+	ProvedGone   uint64 // instances with lapsed grants whose process was proved to be gone
 	Holder       admission.HolderStats
 	ClaimClient  claims.Stats
 	ClaimWriter  claims.Stats
@@ -120,6 +122,8 @@
 		c.table.List(now, ev.Instances)
 	case Stored:
 		c.stored(now, ev)
+	case Probed:
+		c.probed(now, ev)
 	case Stopping:
 		c.stop(now)
 	case Inspect:
@@ -141,6 +145,7 @@
 	}
 	if c.home != nil {
 		c.home.Tick(now)
+		c.probeSuspects()
 		c.reportStatus(now)
 	}
 	c.beat(now)
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -47,6 +47,7 @@
 	configs  ConfigWorker // nil until SetConfigWorker
 	claims   ClaimStore   // nil until UseClaimStore
 	storer   Storer       // nil until UseStore
+	prober   Prober       // nil until UseProber
 	queue    chan Event
 	wake     chan struct{}
 	snapshot atomic.Pointer[state.Snapshot]
@@ -159,6 +160,7 @@
 	l.handConfig(r.Config)
 	l.runClaims(r.Claims)
 	l.runStore(r.Store)
+	l.runProbes(r.Probes)
 }
 
 // runStore hands store operations to the worker, which counts what it drops; the election repeats what it misses.
--- /dev/null
+++ b/coordination/control/probe.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"azurebridge/coordination/admission"
+	"azurebridge/state"
+)
+
+// Probe asks for evidence whether the process of an instance still runs. Its operators' address is open as long as the
+// process lives, so that a refused connection proves that it is gone. No answer proves nothing.
+type Probe struct {
+	Name        state.InstanceName
+	Incarnation state.Incarnation
+	Address     string // host:port
+}
+
+// Probed is the result of a probe.
+type Probed struct {
+	Probe   Probe
+	Refused bool
+}
+
+func (Probed) event() {}
+
+// Prober carries out probes and passes their results back as Probed. Probe must not block; it counts what it drops.
+type Prober interface {
+	Probe(p Probe)
+}
+
+// UseProber sets who carries out probes. It must be called before Run.
+func (l *Loop) UseProber(p Prober) { l.prober = p }
+
+func (l *Loop) runProbes(list []Probe) {
+	if l.prober == nil {
+		return
+	}
+	for _, p := range list {
+		l.prober.Probe(p)
+	}
+}
+
+// probeSuspects asks for evidence about the instances whose grants have lapsed.
+func (c *Core) probeSuspects() {
+	for _, s := range c.home.TakeSuspects() {
+		for _, in := range c.table.Instances() {
+			if in.Name == s.Name && in.OperatorsAddress != "" {
+				c.ready.Probes = append(c.ready.Probes, Probe{Name: s.Name, Incarnation: s.Incarnation, Address: in.OperatorsAddress})
+			}
+		}
+	}
+}
+
+// probed frees the grants of an instance that is gone.
+func (c *Core) probed(now state.Instant, ev Probed) {
+	if c.home != nil && ev.Refused {
+		c.Stats.ProvedGone++
+		c.home.Gone(now, admission.Suspect{Name: ev.Probe.Name, Incarnation: ev.Probe.Incarnation})
+	}
+}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -125,6 +125,9 @@
 func (t *Table) address(e *entry, in state.Instance) {
 	b := e.instance
 	b.Region, b.Domain, b.CallerAddress, b.FleetAddress = in.Region, in.Domain, in.CallerAddress, in.FleetAddress
+	if in.OperatorsAddress != "" { // the platform's list does not have it
+		b.OperatorsAddress = in.OperatorsAddress
+	}
 	if b != e.instance {
 		e.instance, t.changed = b, true
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -21,7 +21,9 @@
 	Domain        DomainName
 	CallerAddress string // host:port where callers send requests
 	FleetAddress  string // host:port of the QUIC listener for other instances
-	Status        InstanceStatus
+	// OperatorsAddress is host:port of the operators' interface. It is open as long as the process runs.
+	OperatorsAddress string
+	Status           InstanceStatus
 }
 
 // Index holds look-up tables that are derived from a Config.
