--- a/coordination/admission/property_test.go
+++ b/coordination/admission/property_test.go
@@ -1,13 +1,13 @@
 package admission
 
 import (
-	"flag"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"azurebridge/coordination/message"
+	"azurebridge/internal/proptest"
 	"azurebridge/state"
 )
 
@@ -252,14 +252,11 @@
 	}
 }
 
+func TestMain(m *testing.M) { proptest.Main(m, 400, 100) }
+
 // Guards against two uses of one slot or of one part of a limit, and against asks that get no answer or two, whatever
 // the network, the clocks and the changes of home do.
 func TestNoOvershootAndNoLostRequest(t *testing.T) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "100", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
 	granted := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -1,7 +1,6 @@
 package claims_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -9,18 +8,13 @@
 
 	"azurebridge/coordination/claims"
 	"azurebridge/coordination/message"
+	"azurebridge/internal/proptest"
 )
 
 // modelKeys are the first bytes of the keys: two of one shard and one of another.
 var modelKeys = []byte{0, 16, 1}
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204") // fixed, so that a run can be repeated
-	_ = flag.Set("rapid.checks", "600")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.shrinktime", "5s")
-	m.Run()
-}
+func TestMain(m *testing.M) { proptest.Main(m, 600, 30) }
 
 // Guards against two attempts of one key being sent, a grant without a record, and "unavailable" for a claim that is in
 // the log, under lost, repeated and reordered messages, lost store replies, outages, pauses, restarts and several writers.
--- a/coordination/homelease/sim_test.go
+++ b/coordination/homelease/sim_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"math/rand"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,21 +11,11 @@
 	"pgregory.net/rapid"
 
 	"azurebridge/coordination/message"
+	"azurebridge/internal/proptest"
 	"azurebridge/state"
 )
 
-// TestMain fixes the seed and the number of schedules, so that every run checks the same ones.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.checks": "60"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 60, 30) }
 
 type event struct {
 	at   time.Duration
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -14,16 +11,11 @@
 
 	"azurebridge/coordination/message"
 	"azurebridge/coordination/rollout"
+	"azurebridge/internal/proptest"
 	"azurebridge/state"
 )
 
-// TestMain fixes the seed of the property tests.
-func TestMain(m *testing.M) {
-	if err := errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 100, 30) }
 
 type envelope struct {
 	from, to state.InstanceName
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -17,9 +17,12 @@
 	envChecks = "AZB_PROPERTY_CHECKS"
 )
 
-// Main runs the tests of a package with a fixed seed and the given number of cases for each property. Call it from
-// TestMain. Flags on the command line win.
-func Main(m *testing.M, checks int) {
+// shrinkTime bounds the search for a smaller failing case.
+const shrinkTime = "5s"
+
+// Main runs the tests of a package with a fixed seed and the given number of cases for each property, of which those
+// that repeat actions take up to steps of them. Call it from TestMain. Flags on the command line win.
+func Main(m *testing.M, checks, steps int) {
 	flag.Parse()
 	given := make(map[string]bool)
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
@@ -33,6 +36,8 @@
 	}
 	set("rapid.seed", envOr(envSeed, defaultSeed))
 	set("rapid.checks", envOr(envChecks, strconv.Itoa(checks)))
+	set("rapid.steps", strconv.Itoa(steps))
+	set("rapid.shrinktime", shrinkTime)
 	set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/protocol/planfile/planfile_test.go
+++ b/protocol/planfile/planfile_test.go
@@ -1,11 +1,8 @@
 package planfile_test
 
 import (
-	stderrors "errors"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
@@ -13,18 +10,13 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"azurebridge/internal/proptest"
 	"azurebridge/protocol/inifile"
 	"azurebridge/protocol/planfile"
 	"azurebridge/state"
 )
 
-// TestMain fixes the seed of the property tests.
-func TestMain(m *testing.M) {
-	if err := stderrors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 100, 30) }
 
 var files = planfile.Files{Deployment: "d.ini", Plans: "p.ini", Customers: "c.ini"}
 
--- a/state/blocks/blocks_test.go
+++ b/state/blocks/blocks_test.go
@@ -127,4 +127,4 @@
 	}
 }
 
-func TestMain(m *testing.M) { proptest.Main(m, 200) }
+func TestMain(m *testing.M) { proptest.Main(m, 200, 30) }
