--- a/coordination/admission/holdings.go
+++ b/coordination/admission/holdings.go
@@ -87,6 +87,10 @@
 		h.join(from, m.Epoch)
 		return
 	}
+	if m.Seq == 0 { // the home asks for a report, because grants that it counts have not been renewed
+		h.owed = max(h.owed, h.seq+1)
+		return
+	}
 	// A lapsed grant stays lapsed, also when the confirmation was in the queue of a paused process.
 	o.fenceLapsed(now, h)
 	for _, id := range m.Lost {
--- a/coordination/admission/lapsed.go
+++ b/coordination/admission/lapsed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azurebridge/coordination/message"
 	"azurebridge/state"
 )
 
@@ -35,6 +36,8 @@
 	if now.Sub(pr.suspectAt) >= SuspectInterval {
 		pr.suspectAt = now
 		h.suspects = append(h.suspects, Suspect{k.name, k.incarnation})
+		// The holder may run and not know of the grant, when the message that gave it was lost.
+		h.out = append(h.out, Outbound{k.name, &message.HeldGrantsReply{Region: h.region, Epoch: h.epoch, Holder: k.incarnation}})
 	}
 }
 
--- a/coordination/admission/lapsed_test.go
+++ b/coordination/admission/lapsed_test.go
@@ -48,3 +48,27 @@
 		})
 	}
 }
+
+// Guards against a slot that stays in use for LapsedLimit because the message that gave the grant was lost: its holder
+// runs, so nothing proves it gone, and it reports nothing because it holds nothing.
+func TestLostGrantIsFreedByReport(t *testing.T) {
+	g := NewWithT(t)
+	cl := &client{h: newTestHome(nil)}
+	held, _ := cl.fill(0, message.GrantRequest{})
+	g.Expect(held).To(HaveLen(4)) // none of the replies arrives at the holder
+	o := NewHolder(state.Instance{Name: "i1", Incarnation: 1, Region: "east"}, func(state.RegionName) (state.InstanceName, message.Epoch) { return "home", 1 })
+	o.nextID = 100
+	o.Tick(0)
+	o.TakeOutbound()
+	for now := state.Instant(0); now < 1500*ms; now += 20 * ms {
+		cl.h.Tick(now)
+		for _, out := range cl.h.TakeOutbound() {
+			o.Confirm(now, "home", out.Body.(*message.HeldGrantsReply))
+		}
+		o.Tick(now)
+		for _, out := range o.TakeOutbound() {
+			cl.h.Held(now, "i1", 1, out.Body.(*message.HeldGrants))
+		}
+	}
+	g.Expect(cl.h.Status().Running).To(BeZero())
+}
--- a/coordination/admission/property_test.go
+++ b/coordination/admission/property_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -235,7 +236,10 @@
 		w.elect(w.current().home.epoch + 1)
 	}
 	w.pass(2 * time.Second) // longer than any pause
-	for range 300 {
+	for turn := range 300 {
+		if turn == 150 { // replaced processes have ended
+			w.members = slices.DeleteFunc(w.members, func(m *member) bool { return m.replaced })
+		}
 		w.pass(20 * time.Millisecond)
 		w.tick()
 		for _, m := range w.members {
--- a/coordination/admission/world_test.go
+++ b/coordination/admission/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -239,10 +240,21 @@
 			w.extend(p)
 		}
 		p.home.Tick(p.read(w.now))
+		w.probe(p)
 	}
 	w.collect()
 }
 
+// probe gives a home the proof, about the incarnations that it suspects, that their processes have ended.
+func (w *world) probe(p *homeProcess) {
+	for _, s := range p.home.TakeSuspects() {
+		runs := slices.ContainsFunc(w.members, func(m *member) bool { return m.name == s.Name && m.inc == s.Incarnation })
+		if !runs {
+			p.home.Gone(p.read(w.now), s)
+		}
+	}
+}
+
 // check sums what holders believe that they may use. It uses the whole lease, although holders fence FenceLead earlier.
 func (w *world) check() {
 	servers := make(map[state.BackendName]int)
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -129,7 +129,7 @@
 type HeldGrantsReply struct {
 	Region state.RegionName
 	Epoch  Epoch
-	Seq    uint64 // 0 when the report named another epoch and confirms nothing
+	Seq    uint64 // 0 confirms nothing: the report named another epoch, or the home asks for a report
 	SentAt state.Instant
 	Holder state.Incarnation // that reported
 	Lost   []GrantID         // reported grants that the home has given up; the sender must not use them
