--- a/coordination/control/claims.go
+++ b/coordination/control/claims.go
@@ -13,9 +13,9 @@
 // MaxBufferedReports bounds the outcomes that wait for the control goroutine.
 const MaxBufferedReports = 8192
 
-// rankInterval is the time between choices of the writers while the list of instances is the same. An outdated choice is
+// claimRankInterval is the time between choices of the writers while the list of instances is the same. An outdated choice is
 // harmless, since any instance may write.
-const rankInterval = time.Second
+const claimRankInterval = time.Second
 
 // Claim asks for the right to send a submission with an idempotency key.
 type Claim struct {
@@ -89,7 +89,7 @@
 func (c *Core) Report(now state.Instant, m *message.OutcomeReport) { c.claims.client.Report(now, m) }
 
 func (c *Core) tickClaims(now state.Instant) {
-	if now.Sub(c.claims.rankedAt) >= rankInterval { // the entries of the list may have changed in place
+	if now.Sub(c.claims.rankedAt) >= claimRankInterval { // the entries of the list may have changed in place
 		c.claims.rankedAt = now
 		c.rankWriters()
 	}
