report: collect latency and outcomes per customer and service from the fleet

Operators had load per region only, and no latency beside the promise. Windows are differences between copies of running counters, so that traffic adds to one set of counters only.

--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -8,6 +8,7 @@
 	"azurebridge/coordination/admission"
 	"azurebridge/coordination/claims"
 	"azurebridge/coordination/message"
+	"azurebridge/coordination/reporting"
 	"azurebridge/state"
 )
 
@@ -69,6 +70,7 @@
 	holder    *admission.Holder
 	rollout   configState
 	claims    claimCores
+	reporting *reporting.Core
 	leaving   bool
 	changed   bool
 	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
@@ -90,6 +92,7 @@
 	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.initClaims()
+	c.reporting = reporting.New(self)
 	c.changed = true
 	return c
 }
@@ -109,6 +112,8 @@
 		c.rollout.listed = true
 	case Stopping:
 		c.leaving, c.changed = true, true
+	case CollectReport:
+		c.reporting.Collect(now, c.reportView(now), ev.Wait, ev.Done)
 	case Inspect:
 		ev.Done(c.dump(now))
 	default:
@@ -129,6 +134,7 @@
 	c.holder.Tick(now)
 	c.tickConfig(now)
 	c.tickClaims(now)
+	c.reporting.Tick(now)
 }
 
 // Ready returns the work since the last call.
@@ -155,6 +161,7 @@
 // collect moves the cores' messages to Ready, or to the local queue when they are for this instance.
 func (c *Core) collect() {
 	c.collectClaims()
+	c.collectReporting()
 	c.post(c.holder.TakeOutbound())
 	c.collectConfig()
 	if c.home != nil {
@@ -212,6 +219,7 @@
 	default:
 		c.deliverConfig(now, from, b)
 		c.deliverClaims(now, from, b)
+		c.deliverReporting(now, from, b)
 	}
 }
 
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -296,3 +296,5 @@
 func (*ConfigOffer) body()     {}
 func (*ConfigPull) body()      {}
 func (*ConfigPush) body()      {}
+func (*ReportRequest) body()   {}
+func (*ReportPage) body()      {}
--- /dev/null
+++ b/coordination/reporting/core.go
@@ -0,0 +1,236 @@
+// Package reporting collects the contributions to a steering report from the fleet. An instance asks the members of its own
+// region and one collector of each other region; a collector asks the members of its region. So no instance talks to all.
+package reporting
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+	"azurebridge/state/report"
+)
+
+// Bounds of collections.
+const (
+	MaxOpen   = 16                     // collections under way at one instance
+	MaxWait   = 5 * time.Second        // of one collection
+	ReuseFor  = 500 * time.Millisecond // how long a collector answers with the part that it has
+	ownWait   = 0.6                    // share of the wait that a collector may use for its members
+	retryWait = 0.4                    // share of the wait after which silent sources are asked again
+)
+
+// ErrBusy tells that MaxOpen collections are under way.
+var ErrBusy = errors.New("too many reports are being collected")
+
+// Source gives this instance's own figures. Summary must not wait for other goroutines that wait.
+type Source interface{ Summary() *report.Part }
+
+// Outbound is a message to send.
+type Outbound struct {
+	To   state.InstanceName
+	Body message.Body
+}
+
+// View is what a collection needs to know of the fleet.
+type View struct {
+	Instances []state.Instance
+	Home      map[state.RegionName]state.InstanceName
+	Revision  state.Revision
+	Load      *report.RegionView // of the own region; nil when not known
+}
+
+// Stats counts what the core did.
+type Stats struct {
+	Collections uint64
+	Busy        uint64 // refused because of MaxOpen
+	Requests    uint64 // of other instances
+	Pages       uint64
+	Late        uint64 // pages that no collection waits for
+	Invalid     uint64 // pages that break a bound
+	Reused      uint64 // requests answered with the part of an earlier collection
+}
+
+// Core collects and answers. Control goroutine only.
+type Core struct {
+	Source Source // nil while there are no figures
+	Stats  Stats
+	self   state.Instance
+	nextID uint64
+	open   map[uint64]*collection
+	region *report.Part // the last part collected for the own region
+	doneAt state.Instant
+	out    []Outbound
+}
+
+// collection is a part in the making.
+type collection struct {
+	started  state.Instant
+	deadline state.Instant
+	retryAt  state.Instant
+	retried  bool
+	regional bool // for the own region only
+	part     *report.Part
+	sources  []*source
+	done     func(*report.Part, error)
+}
+
+// source is a member of the own region, or the instances that may collect for another region.
+type source struct {
+	region   state.RegionName
+	names    []state.InstanceName // asked in this order: the second one when the first is silent
+	members  int                  // instances that the answer stands for
+	answered bool
+	answers  map[state.InstanceName]*answer
+}
+
+// answer is the pages of one instance.
+type answer struct {
+	pages []*report.Part
+	left  int
+}
+
+// New returns a core of an instance.
+func New(self state.Instance) *Core { return &Core{self: self, open: make(map[uint64]*collection)} }
+
+// TakeOutbound returns the messages to send since the last call.
+func (c *Core) TakeOutbound() []Outbound {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Collect gathers the figures of the fleet. It calls done once, at the latest after wait.
+func (c *Core) Collect(now state.Instant, v View, wait time.Duration, done func(*report.Part, error)) {
+	c.start(now, v, &collection{deadline: now.Add(min(wait, MaxWait)), sources: append(c.members(v), c.collectors(v)...), done: done})
+}
+
+// Request answers another instance.
+func (c *Core) Request(now state.Instant, v View, from state.InstanceName, r *message.ReportRequest) {
+	c.Stats.Requests++
+	if r.Scope != message.ReportRegion {
+		c.answer(from, r.ID, c.own(v))
+		return
+	}
+	if c.region != nil && now.Sub(c.doneAt) < ReuseFor {
+		c.Stats.Reused++
+		c.answer(from, r.ID, c.region.Older(now.Sub(c.doneAt)))
+		return
+	}
+	wait := time.Duration(float64(min(r.Wait, MaxWait)) * ownWait)
+	c.start(now, v, &collection{deadline: now.Add(wait), regional: true, sources: c.members(v), done: func(p *report.Part, err error) {
+		if err == nil {
+			c.answer(from, r.ID, p)
+		}
+	}})
+}
+
+// Page takes one page of an answer. Late, repeated and malformed pages change nothing.
+func (c *Core) Page(now state.Instant, from state.InstanceName, m *message.ReportPage) {
+	c.Stats.Pages++
+	col := c.open[m.ID]
+	if col == nil {
+		c.Stats.Late++
+		return
+	}
+	if m.Pages < 1 || m.Pages > message.MaxReportPages || m.Page < 0 || m.Page >= m.Pages || !m.Part.Valid() {
+		c.Stats.Invalid++
+		return
+	}
+	for _, s := range col.sources {
+		if !s.answered && slices.Contains(s.names, from) {
+			if p := s.add(from, m); p != nil {
+				s.answered = true
+				if s.region == c.self.Region { // the region has one collector
+					p.Sources = []report.Source{{Region: s.region, Collector: c.self.Name, Asked: 1, Answered: 1}}
+				}
+				col.part = report.Merge(col.part, p)
+			}
+			break
+		}
+	}
+	c.finish(now, m.ID, col)
+}
+
+// add keeps a page and returns the part when it is complete.
+func (s *source) add(from state.InstanceName, m *message.ReportPage) *report.Part {
+	a := s.answers[from]
+	if a == nil || len(a.pages) != m.Pages {
+		a = &answer{pages: make([]*report.Part, m.Pages), left: m.Pages}
+		s.answers[from] = a
+	}
+	if a.pages[m.Page] == nil {
+		a.pages[m.Page] = &m.Part
+		a.left--
+	}
+	if a.left > 0 {
+		return nil
+	}
+	whole := &report.Part{}
+	for _, p := range a.pages {
+		whole = report.Merge(whole, p)
+	}
+	return whole
+}
+
+// Tick asks silent sources again and ends collections whose wait is over.
+func (c *Core) Tick(now state.Instant) {
+	for id, col := range c.open {
+		if !col.retried && !now.Before(col.retryAt) {
+			col.retried = true
+			c.ask(now, id, col, 1)
+		}
+		c.finish(now, id, col)
+	}
+}
+
+func (c *Core) start(now state.Instant, v View, col *collection) {
+	if len(c.open) >= MaxOpen {
+		c.Stats.Busy++
+		col.done(nil, errors.WithStack(ErrBusy))
+		return
+	}
+	c.Stats.Collections++
+	c.nextID++
+	col.started, col.part = now, c.own(v)
+	col.retryAt = now.Add(time.Duration(float64(col.deadline.Sub(now)) * retryWait))
+	c.open[c.nextID] = col
+	c.ask(now, c.nextID, col, 0)
+	c.finish(now, c.nextID, col)
+}
+
+// ask sends the request to the nth name of each silent source, or to its last name.
+func (c *Core) ask(now state.Instant, id uint64, col *collection, nth int) {
+	for _, s := range col.sources {
+		if s.answered {
+			continue
+		}
+		scope := message.ReportRegion
+		if s.region == c.self.Region {
+			scope = message.ReportInstance
+		}
+		to := s.names[min(nth, len(s.names)-1)]
+		c.out = append(c.out, Outbound{to, &message.ReportRequest{ID: id, Scope: scope, Wait: col.deadline.Sub(now)}})
+	}
+}
+
+// finish ends a collection that is complete or whose wait is over.
+func (c *Core) finish(now state.Instant, id uint64, col *collection) {
+	if now.Before(col.deadline) && slices.ContainsFunc(col.sources, func(s *source) bool { return !s.answered }) {
+		return
+	}
+	delete(c.open, id)
+	for _, s := range col.sources {
+		if !s.answered {
+			col.part = report.Merge(col.part, c.silent(s))
+		}
+	}
+	part := col.part
+	part = part.Older(now.Sub(col.started)) // no contribution is older than the collection
+	if col.regional {
+		c.region, c.doneAt = part, now
+	}
+	col.done(part, nil)
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -53,6 +53,8 @@
 	reflect.TypeFor[message.ConfigPull](),
 	reflect.TypeFor[message.ConfigPush](),
 	reflect.TypeFor[message.OutcomeAck](),
+	reflect.TypeFor[message.ReportRequest](),
+	reflect.TypeFor[message.ReportPage](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
--- /dev/null
+++ b/state/report/build.go
@@ -0,0 +1,184 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"azurebridge/state"
+)
+
+// Build makes the report from the merged part of the fleet and the asked instance's snapshot at the instant now. Every region,
+// link and promise of the configuration has a row, also when nothing is known of it.
+func Build(s *state.Snapshot, p *Part, now state.Instant, wall time.Time) *Report {
+	r := &Report{
+		Time: wall, Instance: s.Self.Name, Region: s.Self.Region, Revision: s.Config.Revision,
+		Coverage: []CoverageRow{}, Regions: []RegionRow{}, Links: []LinkRow{}, Shifts: []ShiftRow{}, Drains: []DrainRow{}, Customers: []CustomerRow{},
+	}
+	for _, c := range p.Sources {
+		r.Coverage = append(r.Coverage, CoverageRow{
+			Region: c.Region, Collector: c.Collector, Asked: c.Asked, Answered: c.Answered,
+			Missing: append([]state.InstanceName{}, c.Missing...), MissingCount: c.MissingCount, AgeMs: ms(c.Age),
+		})
+	}
+	r.regions(s, p, now)
+	r.links(s.Config, p)
+	for _, sh := range s.Config.Shifts {
+		r.Shifts = append(r.Shifts, ShiftRow{Shift: sh.Name, From: sh.From, To: sh.To, Cap: sh.MaxRunning, Ramp: sh.RampPerSecond})
+	}
+	for _, d := range s.Config.Drains {
+		r.Drains = append(r.Drains, DrainRow{Kind: d.Kind, Name: d.Name, Running: r.runningUnder(d)})
+	}
+	r.customers(s.Config, s.Index, p)
+	r.fleet(s, p)
+	return r
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+func (r *Report) regions(s *state.Snapshot, p *Part, now state.Instant) {
+	for _, region := range s.Config.Regions {
+		var view *RegionView
+		for i := range p.Regions {
+			if p.Regions[i].Load.Region == region.Name {
+				view = &p.Regions[i]
+			}
+		}
+		if load, ok := s.Loads[region.Name]; ok && view == nil {
+			view = &RegionView{Load: load, Age: now.Sub(load.ReportedAt)}
+		}
+		row := RegionRow{Region: region.Name, MaxRunning: region.MaxRunning, AgeMs: -1, Drained: s.Config.RegionDrained(region.Name), Services: []ServiceRow{}}
+		if view != nil {
+			row.fill(view)
+		}
+		r.Regions = append(r.Regions, row)
+	}
+}
+
+// fill takes over what the home reported. Further figures of state.RegionLoad travel with the part and need only a line here.
+func (row *RegionRow) fill(v *RegionView) {
+	l := &v.Load
+	row.Home, row.Epoch, row.AgeMs, row.Running = l.Home, l.Epoch, ms(v.Age), l.Running
+	for _, sv := range l.Services {
+		row.Slots += sv.Slots
+		row.Queued += sv.Queued
+		row.Headroom += max(sv.Slots-sv.Running, 0)
+		row.Services = append(row.Services, ServiceRow{
+			Service: sv.Service, Slots: sv.Slots, Running: sv.Running, Queued: sv.Queued, Headroom: max(sv.Slots-sv.Running, 0),
+		})
+	}
+	if row.MaxRunning > 0 {
+		row.Headroom = min(row.Headroom, max(row.MaxRunning-row.Running, 0))
+	}
+	if row.Drained {
+		row.Headroom = 0
+	}
+}
+
+func (r *Report) links(c *state.Config, p *Part) {
+	for _, l := range c.Links {
+		row := LinkRow{From: l.From, To: l.To, Capacity: l.BytesPerSecond}
+		for _, u := range p.Links {
+			if u.From == l.From && u.To == l.To && u.Length > 0 {
+				row.Used = int64(float64(u.Bytes) / u.Length.Seconds())
+			}
+		}
+		row.Headroom = max(row.Capacity-row.Used, 0)
+		r.Links = append(r.Links, row)
+	}
+}
+
+func (r *Report) runningUnder(d state.Drain) *int {
+	for i := range r.Regions {
+		if d.Kind == state.DrainRegion && d.Name == string(r.Regions[i].Region) && r.Regions[i].AgeMs >= 0 {
+			return &r.Regions[i].Running
+		}
+	}
+	return nil
+}
+
+// customers makes one row for each promise, and for each pair that has traffic without one.
+func (r *Report) customers(c *state.Config, x *state.Index, p *Part) {
+	left := make(map[[2]string]*Pair, len(p.Pairs))
+	for i := range p.Pairs {
+		left[[2]string{string(p.Pairs[i].Customer), string(p.Pairs[i].Service)}] = &p.Pairs[i]
+	}
+	for _, cu := range c.Customers {
+		plan := x.Plan[cu.Plan]
+		if plan == nil {
+			continue
+		}
+		for _, sv := range plan.Services {
+			key := [2]string{string(cu.Name), string(sv.Service)}
+			pair := left[key]
+			if pair == nil {
+				pair = &Pair{Customer: cu.Name, Service: sv.Service}
+			}
+			delete(left, key)
+			r.Customers = append(r.Customers, customerRow(pair, cu.Plan, x.Service[sv.Service], sv.LatencyTarget))
+		}
+	}
+	for _, pair := range left {
+		r.Customers = append(r.Customers, customerRow(pair, "", x.Service[pair.Service], 0))
+	}
+	slices.SortFunc(r.Customers, func(a, b CustomerRow) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service))
+	})
+}
+
+// customerRow compares with the promise. A download or stream lasts as long as its body at the paced rate, so its promise is
+// about the first byte.
+func customerRow(pair *Pair, plan state.PlanName, service *state.Service, promised time.Duration) CustomerRow {
+	row := CustomerRow{
+		Customer: pair.Customer, Plan: plan, Service: pair.Service, Measure: MeasureWhole, PromisedMs: ms(promised),
+		Window: achieved(&pair.Window), Total: achieved(&pair.Total),
+	}
+	if service != nil && (service.Kind == state.KindDownload || service.Kind == state.KindStream) {
+		row.Measure = MeasureFirstByte
+	}
+	switch q := row.Promise(); {
+	case q.Count == 0:
+		row.Verdict = NoTraffic
+	case promised == 0:
+		row.Verdict = NoPromise
+	case q.P99 <= row.PromisedMs:
+		row.Verdict = Kept
+	default:
+		row.Verdict = Missed
+	}
+	return row
+}
+
+// Promise returns the window's quantiles that the promise is about.
+func (row *CustomerRow) Promise() Quantiles {
+	if row.Measure == MeasureFirstByte {
+		return row.Window.FirstByte
+	}
+	return row.Window.Whole
+}
+
+func achieved(f *Figures) Achieved {
+	return Achieved{
+		Seconds: f.Length.Seconds(), Requests: f.Requests, Admitted: f.Admitted, Ran: f.Ran, NotRun: f.NotRun, Unknown: f.Unknown,
+		Cut: f.Cut, Refused: append([]Reason{}, f.Refused...), FirstByte: quantiles(f.FirstByte), Whole: quantiles(f.Whole),
+	}
+}
+
+func quantiles(h Histogram) Quantiles {
+	return Quantiles{Count: h.Count(), P50: ms(h.Quantile(0.5)), P95: ms(h.Quantile(0.95)), P99: ms(h.Quantile(0.99))}
+}
+
+func (r *Report) fleet(s *state.Snapshot, p *Part) {
+	counts := make(map[state.InstanceStatus]int)
+	for i := range s.Instances {
+		counts[s.Instances[i].Status]++
+	}
+	r.Fleet = Fleet{Statuses: []StatusCount{}, Revisions: append([]RevisionCount{}, p.Revisions...), Overflow: p.Overflow}
+	for _, st := range []state.InstanceStatus{state.InstanceLive, state.InstanceLeaving, state.InstanceSuspect, state.InstanceDead} {
+		if counts[st] > 0 {
+			r.Fleet.Statuses = append(r.Fleet.Statuses, StatusCount{st, counts[st]})
+		}
+	}
+}
--- a/transport/edge/carry.go
+++ b/transport/edge/carry.go
@@ -16,6 +16,7 @@
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/observe"
 )
 
 var errFenced = errors.New("the grant could not be renewed in time")
@@ -37,7 +38,7 @@
 		ctx, stop = context.WithTimeout(ctx, rq.deadline)
 		defer stop()
 	}
-	rq.http.Body = http.MaxBytesReader(w, rq.http.Body, m.opts.MaxBody)
+	rq.http.Body = http.MaxBytesReader(rq.seen.Unwrap(), rq.http.Body, m.opts.MaxBody)
 	var exclude []state.BackendName
 	for n := 0; n < MaxAttempts; n++ {
 		if n > 0 {
@@ -114,6 +115,7 @@
 		m.release(at, message.ResultUnused)
 		return at, message.RefusedNoBackend, nil
 	}
+	rq.seen.Granted(answer.Region, answer.Backend)
 	at.start = time.Now()
 	return at, message.RefusedNone, nil
 }
@@ -147,7 +149,11 @@
 	if d, ok := ctx.Deadline(); ok {
 		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
-	return m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once()})
+	resp, proof, err := m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once()})
+	if proof != backend.ProofAnswered {
+		rq.seen.Refused(observe.ReasonBackend)
+	}
+	return resp, proof, err
 }
 
 // pass passes an answer on. When its body ends early, the caller's connection is aborted, so that a part is never
@@ -180,6 +186,7 @@
 // refuse answers a request that has not run.
 func (m *Manager) refuse(w http.ResponseWriter, why message.Refusal, after time.Duration, err error) {
 	m.Stats.Refused.Add(1)
+	observe.Of(w).Refused(why)
 	p := callers.Problem{Status: http.StatusServiceUnavailable, Outcome: callers.OutcomeNotRun, Reason: string(why), Step: "admission"}
 	switch why {
 	case message.RefusedPlan:
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -8,6 +8,7 @@
 
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
+	"azurebridge/transport/observe"
 )
 
 // request is a checked request of a caller.
@@ -18,6 +19,7 @@
 	customer state.CustomerName
 	key      string        // idempotency key; empty when absent
 	deadline time.Duration // 0 means no limit
+	seen     *observe.Request
 }
 
 // once reports whether the request must run at most once.
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -14,6 +14,7 @@
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/observe"
 )
 
 // Bounds of the callers' interface.
@@ -41,6 +42,7 @@
 	MaxBody   int64 // bytes of a request body
 	MaxHeader int   // bytes of a request header
 	Log       hclog.Logger
+	Observe   *observe.Recorder // nil for a recorder that nobody reads
 }
 
 // Stats counts requests of callers.
@@ -74,6 +76,9 @@
 	if opts.MaxHeader == 0 {
 		opts.MaxHeader = DefaultMaxHeader
 	}
+	if opts.Observe == nil {
+		opts.Observe = observe.New(state.MonotonicClock(), opts.Control.Snapshot)
+	}
 	m := &Manager{opts: opts}
 	m.buffers.New = func() any { b := make([]byte, copyBuffer); return &b }
 	return m
@@ -101,6 +106,8 @@
 	m.Stats.Requests.Add(1)
 	m.Stats.InFlight.Add(1)
 	defer m.Stats.InFlight.Add(-1)
+	q := m.opts.Observe.Begin(w)
+	defer q.End()
 	s := m.opts.Control.Snapshot()
 	rq, problem := parse(s, r, m.opts.MaxBody)
 	if problem != nil {
@@ -108,9 +115,12 @@
 		callers.WriteProblem(w, *problem, 0)
 		return
 	}
+	q.Identify(s, rq.customer, rq.service.Name)
+	rq.seen = q
 	if rq.once() {
-		m.submit(w, rq)
-		return
+		m.submit(q, rq)
+	} else {
+		m.carry(q, rq)
 	}
-	m.carry(w, rq)
+	q.Done()
 }
--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -16,6 +16,7 @@
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/observe"
 )
 
 // Bounds of submissions.
@@ -48,7 +49,7 @@
 		limit = SubmissionTimeout
 	}
 	sub.expires = time.Now().Add(limit)
-	if p := sub.read(w, m.opts.MaxBody); p != nil {
+	if p := sub.read(rq.seen.Unwrap(), m.opts.MaxBody); p != nil {
 		m.Stats.Malformed.Add(1)
 		callers.WriteProblem(w, *p, 0)
 		return
@@ -282,6 +283,7 @@
 // of the submission as a whole.
 func (m *Manager) answerClaim(w http.ResponseWriter, reply *message.ClaimReply) {
 	p := callers.Problem{Step: "claim", Outcome: callers.OutcomeNotRun}
+	defer func() { observe.Of(w).Refused(message.Refusal(p.Reason)) }()
 	switch reply.Status {
 	case message.ClaimRan:
 		m.replay(w, &reply.Outcome)
--- /dev/null
+++ b/transport/observe/summary.go
@@ -0,0 +1,53 @@
+package observe
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"azurebridge/state/report"
+)
+
+// Summary returns this instance's contribution to a report. It reads the counters of all pairs, about 300 for each.
+func (r *Recorder) Summary() *report.Part {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, self := r.clock(), r.view().Self.Region
+	window := now.Sub(r.times[0])
+	p := &report.Part{Overflow: r.Stats.Overflow.Load()}
+	for i := range r.table {
+		pr := r.table[i].Load()
+		if pr == nil {
+			continue
+		}
+		out := report.Pair{Customer: pr.key.customer, Service: pr.key.service, Total: pr.figures()}
+		out.Window = out.Total
+		if len(pr.copies) == len(r.times) { // else the pair was added after the oldest copy that is kept
+			out.Window = since(out.Total, pr.copies[0])
+		}
+		out.Window.Length, out.Total.Length = window, time.Duration(now)
+		p.Pairs = append(p.Pairs, out)
+	}
+	slices.SortFunc(p.Pairs, func(a, b report.Pair) int {
+		if c := strings.Compare(string(a.Customer), string(b.Customer)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Service), string(b.Service))
+	})
+	for i := range r.links {
+		l := r.links[i].Load()
+		if l == nil {
+			break
+		}
+		use := report.LinkUse{From: l.from, To: self, Length: window, Bytes: l.bytes.Load()}
+		if len(l.copies) == len(r.times) {
+			use.Bytes -= l.copies[0]
+		}
+		p.Links = append(p.Links, use)
+	}
+	slices.SortFunc(p.Links, func(a, b report.LinkUse) int { return strings.Compare(string(a.From), string(b.From)) })
+	return p
+}
+
+// Pairs returns the number of pairs that are recorded.
+func (r *Recorder) Pairs() int64 { return r.pairs.Load() }
