--- a/cmd/azb-ctl/main.go
+++ b/cmd/azb-ctl/main.go
@@ -34,6 +34,7 @@
 	Cap      capCmd      `cmd:"" help:"Set or end the cap of a shift of traffic between two regions."`
 	Wait     waitCmd     `cmd:"" help:"Wait until a revision is in force at all given instances."`
 	Status   statusCmd   `cmd:"" help:"Show a summary of an instance's view."`
+	Report   reportCmd   `cmd:"" help:"Show the steering report of the whole fleet."`
 	Dump     dumpCmd     `cmd:"" help:"Print the control state of an instance as JSON."`
 }
 
--- a/cmd/azb-ctl/status.go
+++ b/cmd/azb-ctl/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"sort"
 
 	"azurebridge/protocol/operatorapi"
@@ -55,6 +56,8 @@
 // dumpCmd prints the control state.
 type dumpCmd struct {
 	reach
+	Customer string `help:"Show only steering decisions of this customer."`
+	Service  string `help:"Show only steering decisions for this service."`
 }
 
 // Run prints the dump as JSON.
@@ -64,7 +67,8 @@
 		return err
 	}
 	var dump json.RawMessage
-	if err := c.get(operatorapi.PathDump, &dump); err != nil {
+	filter := url.Values{"customer": {d.Customer}, "service": {d.Service}}
+	if err := c.get(operatorapi.PathDump+"?"+filter.Encode(), &dump); err != nil {
 		return err
 	}
 	return p.asJSON(p.out, dump)
--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -20,6 +20,7 @@
 	"azurebridge/transport/edge"
 	"azurebridge/transport/fleet"
 	"azurebridge/transport/identity"
+	"azurebridge/transport/observe"
 	"azurebridge/transport/operators"
 	"azurebridge/transport/platform"
 )
@@ -53,6 +54,8 @@
 	}
 	loop = control.NewLoop(control.NewCore(self), state.MonotonicClock(), fl)
 	client := platform.New(cfg.Platform.String())
+	rec := observe.New(loop.Now, loop.Snapshot)
+	loop.SetReportSource(rec)
 	ops, err := operators.New(loop, platform.NewConfigStore(client))
 	if err != nil {
 		return err
@@ -69,7 +72,13 @@
 	go feed.DecodeConfigs(ctx)
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
-	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
+	go rec.Run(ctx)
+	backends := backend.New(nil)
+	ed := edge.New(edge.Options{Control: loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge"), Observe: rec})
+	ops.Observe(operators.Observed{Recorder: rec, Metrics: observe.Registry(map[string]any{
+		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "observe": &rec.Stats,
+		"control.dropped": &loop.Dropped,
+	})})
 	return serve(ctx, cfg, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
 }
 
@@ -119,7 +128,7 @@
 }
 
 func writeDump(ctx context.Context, ops *operators.Manager, log hclog.Logger) {
-	d, err := ops.Dump(ctx)
+	d, err := ops.FullDump(ctx, "", "")
 	if err != nil {
 		log.Warn("dump failed", "error", err)
 		return
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -56,6 +56,7 @@
 	Holder       admission.HolderStats
 	ClaimClient  claims.Stats
 	ClaimWriter  claims.Stats
+	Reporting    reporting.Stats
 }
 
 // Core is the control state of one instance. Control goroutine only.
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -24,6 +24,7 @@
 	d.Config = c.dumpConfig()
 	d.Stats.Holder = c.holder.Stats
 	d.Stats.ClaimClient, d.Stats.ClaimWriter = c.claims.client.Stats, c.claims.writer.Stats
+	d.Stats.Reporting = c.reporting.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
 			d.Homes = append(d.Homes, h)
--- a/protocol/operatorapi/operatorapi.go
+++ b/protocol/operatorapi/operatorapi.go
@@ -16,6 +16,8 @@
 	PathCap     = "/v1/cap"
 	PathStatus  = "/v1/status"
 	PathDump    = "/v1/dump"
+	PathReport  = "/v1/report" // ?wait=DURATION, at most 5s
+	PathMetrics = "/v1/metrics"
 )
 
 // Bounds of requests.
--- a/state/report/build.go
+++ b/state/report/build.go
@@ -14,6 +14,7 @@
 	r := &Report{
 		Time: wall, Instance: s.Self.Name, Region: s.Self.Region, Revision: s.Config.Revision,
 		Coverage: []CoverageRow{}, Regions: []RegionRow{}, Links: []LinkRow{}, Shifts: []ShiftRow{}, Drains: []DrainRow{}, Customers: []CustomerRow{},
+		Services: []ServiceTotal{},
 	}
 	for _, c := range p.Sources {
 		r.Coverage = append(r.Coverage, CoverageRow{
@@ -30,6 +31,7 @@
 		r.Drains = append(r.Drains, DrainRow{Kind: d.Kind, Name: d.Name, Running: r.runningUnder(d)})
 	}
 	r.customers(s.Config, s.Index, p)
+	r.services(s.Config, p)
 	r.fleet(s, p)
 	return r
 }
@@ -46,7 +48,7 @@
 				view = &p.Regions[i]
 			}
 		}
-		if load, ok := s.Loads[region.Name]; ok && view == nil {
+		if load, ok := s.Loads[region.Name]; ok && (view == nil || now.Sub(load.ReportedAt) < view.Age) {
 			view = &RegionView{Load: load, Age: now.Sub(load.ReportedAt)}
 		}
 		row := RegionRow{Region: region.Name, MaxRunning: region.MaxRunning, AgeMs: -1, Drained: s.Config.RegionDrained(region.Name), Services: []ServiceRow{}}
@@ -128,16 +130,35 @@
 	})
 }
 
-// customerRow compares with the promise. A download or stream lasts as long as its body at the paced rate, so its promise is
+// measure returns what a promise is about. A download or stream lasts as long as its body at the paced rate, so its promise is
 // about the first byte.
+func measure(service *state.Service) string {
+	if service != nil && (service.Kind == state.KindDownload || service.Kind == state.KindStream) {
+		return MeasureFirstByte
+	}
+	return MeasureWhole
+}
+
+// services sums up the customers of each service.
+func (r *Report) services(c *state.Config, p *Part) {
+	for i := range c.Services {
+		var window, total Figures
+		for j := range p.Pairs {
+			if p.Pairs[j].Service == c.Services[i].Name {
+				window, total = MergeFigures(window, p.Pairs[j].Window), MergeFigures(total, p.Pairs[j].Total)
+			}
+		}
+		r.Services = append(r.Services, ServiceTotal{c.Services[i].Name, measure(&c.Services[i]), achieved(&window), achieved(&total)})
+	}
+}
+
+// customerRow compares with the promise.
 func customerRow(pair *Pair, plan state.PlanName, service *state.Service, promised time.Duration) CustomerRow {
 	row := CustomerRow{
-		Customer: pair.Customer, Plan: plan, Service: pair.Service, Measure: MeasureWhole, PromisedMs: ms(promised),
+		Customer: pair.Customer, Plan: plan, Service: pair.Service, PromisedMs: ms(promised),
 		Window: achieved(&pair.Window), Total: achieved(&pair.Total),
 	}
-	if service != nil && (service.Kind == state.KindDownload || service.Kind == state.KindStream) {
-		row.Measure = MeasureFirstByte
-	}
+	row.Measure = measure(service)
 	switch q := row.Promise(); {
 	case q.Count == 0:
 		row.Verdict = NoTraffic
@@ -152,11 +173,14 @@
 }
 
 // Promise returns the window's quantiles that the promise is about.
-func (row *CustomerRow) Promise() Quantiles {
-	if row.Measure == MeasureFirstByte {
-		return row.Window.FirstByte
+func (row *CustomerRow) Promise() Quantiles { return row.Window.Measured(row.Measure) }
+
+// Measured returns the quantiles that a measure names.
+func (a *Achieved) Measured(measure string) Quantiles {
+	if measure == MeasureFirstByte {
+		return a.FirstByte
 	}
-	return row.Window.Whole
+	return a.Whole
 }
 
 func achieved(f *Figures) Achieved {
--- a/state/report/report.go
+++ b/state/report/report.go
@@ -18,6 +18,7 @@
 	Shifts    []ShiftRow         `json:"shifts"`
 	Drains    []DrainRow         `json:"drains"`
 	Customers []CustomerRow      `json:"customers"`
+	Services  []ServiceTotal     `json:"services"`
 	Fleet     Fleet              `json:"fleet"`
 }
 
@@ -108,6 +109,14 @@
 	Total      Achieved           `json:"since_start"`
 }
 
+// ServiceTotal is the figures of one service for all customers, by their merged histograms.
+type ServiceTotal struct {
+	Service state.ServiceName `json:"service"`
+	Measure string            `json:"measure"`
+	Window  Achieved          `json:"window"`
+	Total   Achieved          `json:"since_start"`
+}
+
 // Achieved is the figures of one customer and service during a time.
 type Achieved struct {
 	Seconds   float64   `json:"seconds"`
--- /dev/null
+++ b/transport/observe/metrics.go
@@ -0,0 +1,78 @@
+package observe
+
+import (
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"unicode"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registry returns a registry with one gauge for each atomic counter of the groups, named group.field in snake case. A group is
+// a pointer to a counter or to a struct with counters as fields.
+func Registry(groups map[string]any) metrics.Registry {
+	r := metrics.NewRegistry()
+	for name, group := range groups {
+		register(r, name, reflect.ValueOf(group).Elem())
+	}
+	return r
+}
+
+func register(r metrics.Registry, name string, v reflect.Value) {
+	var read func() int64
+	switch c := v.Addr().Interface().(type) {
+	case *atomic.Uint64:
+		read = func() int64 { return int64(c.Load()) }
+	case *atomic.Int64:
+		read = c.Load
+	}
+	if read != nil {
+		r.GetOrRegister(name, metrics.NewFunctionalGauge(read))
+		return
+	}
+	for i := range v.NumField() {
+		if v.Type().Field(i).IsExported() {
+			register(r, name+"."+snake(v.Type().Field(i).Name), v.Field(i))
+		}
+	}
+}
+
+// Flatten sets one gauge for each number of a struct, for counters that are not atomic because one goroutine owns them.
+func Flatten(r metrics.Registry, name string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			Flatten(r, name+"."+snake(v.Type().Field(i).Name), v.Field(i))
+		}
+	case reflect.Uint64:
+		metrics.GetOrRegisterGauge(name, r).Update(int64(v.Uint()))
+	case reflect.Int, reflect.Int64:
+		metrics.GetOrRegisterGauge(name, r).Update(v.Int())
+	}
+}
+
+// Values returns the gauges by name. encoding/json writes them in the order of their names.
+func Values(r metrics.Registry) map[string]int64 {
+	out := make(map[string]int64)
+	r.Each(func(name string, v any) {
+		if g, ok := v.(metrics.Gauge); ok {
+			out[name] = g.Value()
+		}
+	})
+	return out
+}
+
+// snake turns MixedCaps into mixed_caps.
+func snake(name string) string {
+	var b strings.Builder
+	lower := false
+	for _, c := range name {
+		if unicode.IsUpper(c) && lower {
+			b.WriteByte('_')
+		}
+		lower = !unicode.IsUpper(c)
+		b.WriteRune(unicode.ToLower(c))
+	}
+	return b.String()
+}
--- a/transport/observe/recorder.go
+++ b/transport/observe/recorder.go
@@ -44,7 +44,7 @@
 	message.RefusedNotHome, message.RefusedUnknown, message.RefusedPlan, message.RefusedCustomer, message.RefusedRegion,
 	message.RefusedLink, message.RefusedShift, message.RefusedQueueFull, message.RefusedTimeout, message.RefusedNoBackend,
 	message.RefusedBusy, message.RefusedNoHome, ReasonBackend, "claim_unavailable", "claim_uncertain", "key_reused",
-	"outcome_unknown", "other",
+	"other",
 }
 
 // ReasonBackend is the reason of a request that was granted and that no backend server ran.
--- a/transport/observe/request.go
+++ b/transport/observe/request.go
@@ -135,8 +135,7 @@
 	if q.known {
 		q.rec.record(q, q.rec.clock())
 	}
-	refusals := q.refusals
-	*q = Request{refusals: refusals}
+	q.ResponseWriter, q.snapshot = nil, nil // what is large; Begin sets the rest
 	requests.Put(q)
 }
 
@@ -168,7 +167,7 @@
 	case o == OutcomeRan:
 		p.firstByte[report.Bucket(q.firstByte)].Add(1)
 		p.whole[report.Bucket(whole)].Add(1)
-	case q.refusal != message.RefusedNone && o != OutcomeCut:
+	case q.refusal != message.RefusedNone && o == OutcomeNotRun:
 		p.refused[reasonIndex(q.refusal)].Add(1)
 	}
 }
--- a/transport/operators/operators_test.go
+++ b/transport/operators/operators_test.go
@@ -35,6 +35,8 @@
 	return nil
 }
 
+func (d *directControl) Now() state.Instant { return 0 }
+
 func (d *directControl) Snapshot() *state.Snapshot { return d.snapshot }
 
 // instance returns the operators' interface of an instance that uses the store.
