--- a/protocol/reportview/html.go
+++ b/protocol/reportview/html.go
@@ -174,7 +174,7 @@
 }
 
 func latencyRow(c *report.CustomerRow) row {
-	q, r := c.Promise(), row{label: string(c.Customer) + "  " + serviceLabel(c.Service, c.Measure)}
+	q, r := c.Promise(), row{label: string(c.Customer) + " " + serviceLabel(c.Service, c.Measure)}
 	switch c.Verdict {
 	case report.NoTraffic:
 		r.note = "no traffic"
@@ -255,7 +255,7 @@
 		}
 		rs = append(rs, top)
 		for _, s := range g.Services {
-			sub := row{label: "    " + string(s.Service), sub: true, draw: share(float64(s.Running), float64(s.Slots), true)}
+			sub := row{label: string(s.Service), sub: true, draw: share(float64(s.Running), float64(s.Slots), true)}
 			sub.note = fmt.Sprintf("%d of %d slots", s.Running, s.Slots)
 			if s.Queued > 0 {
 				sub.note += fmt.Sprintf(", %d queued", s.Queued)
--- a/protocol/reportview/reportview_test.go
+++ b/protocol/reportview/reportview_test.go
@@ -94,7 +94,7 @@
 	g.Expect(reportview.HTML(&b, samples)).To(Succeed())
 	text := b.String()
 	for i := range 40 {
-		g.Expect(text).To(ContainSubstring("customer-%02d  search", i))
+		g.Expect(text).To(ContainSubstring("customer-%02d search", i))
 	}
 	g.Expect(text).To(ContainSubstring("drain of backend search-03 begins"))
 	g.Expect(text).To(ContainSubstring("40 of 80"))
--- a/protocol/reportview/series.go
+++ b/protocol/reportview/series.go
@@ -19,70 +19,88 @@
 	return template.CSS(fmt.Sprintf("#%02x%02x%02x", c.R, c.G, c.B))
 }
 
+// span is samples over time.
+type span struct {
+	samples []*report.Report
+	times   []float64 // seconds since the first sample
+	events  []event
+}
+
 // timeSections returns the charts over time.
 func timeSections(samples []*report.Report) []func() (section, error) {
-	times := make([]float64, len(samples))
+	sp := span{samples: samples, times: make([]float64, len(samples))}
 	for i, s := range samples {
-		times[i] = s.Time.Sub(samples[0].Time).Seconds()
+		sp.times[i] = s.Time.Sub(samples[0].Time).Seconds()
+	}
+	sp.events = changes(samples, sp.times)
+	return []func() (section, error){
+		func() (section, error) {
+			note := "p99 of the last minute in percent of the promise, for each customer and service. The dashed line is the promise."
+			return sp.draw(section{Title: "Latency over time", Note: note}, 100, sp.lines(putLatency))
+		},
+		func() (section, error) {
+			note := "Requests that each region could run now, under its slots and its limit."
+			return sp.draw(section{Title: "Headroom over time", Note: note}, 0, sp.lines(putHeadroom))
+		},
+		func() (section, error) {
+			note := "Response bodies in Mbit/s, mean of the last minute."
+			return sp.draw(section{Title: "Links over time", Note: note}, 0, sp.lines(putLinks))
+		},
 	}
-	events := changes(samples, times)
-	lines := func(each func(r *report.Report, put func(name string, v float64))) []line {
-		byName := make(map[string]*line)
-		for i, s := range samples {
-			each(s, func(name string, v float64) {
-				l := byName[name]
-				if l == nil {
-					l = &line{name: name, values: slices.Repeat([]float64{math.NaN()}, len(samples))}
-					byName[name] = l
-				}
-				l.values[i] = v
-			})
+}
+
+func putLatency(r *report.Report, put func(string, float64)) {
+	for i := range r.Customers {
+		if v := ratio(&r.Customers[i]); v >= 0 {
+			put(string(r.Customers[i].Customer)+" "+string(r.Customers[i].Service), v*100)
 		}
-		list := make([]line, 0, len(byName))
-		for _, name := range slices.Sorted(maps.Keys(byName)) {
-			list = append(list, *byName[name])
+	}
+}
+
+func putHeadroom(r *report.Report, put func(string, float64)) {
+	for i := range r.Regions {
+		if r.Regions[i].AgeMs >= 0 {
+			put(string(r.Regions[i].Region), float64(r.Regions[i].Headroom))
 		}
-		return list
 	}
-	draw := func(title, note string, percent bool, limit float64, list []line) func() (section, error) {
-		return func() (section, error) {
-			s, top := section{Title: title, Note: note}, 1.0
-			if percent {
-				top = 100
-			}
-			paint(list, &s, &top)
-			if len(list) == 0 {
-				return s, nil
+}
+
+func putLinks(r *report.Report, put func(string, float64)) {
+	for _, l := range r.Links {
+		put(string(l.From)+" > "+string(l.To), float64(l.Used)*8/1e6)
+	}
+}
+
+// lines returns one line for each name that each puts, ordered by name.
+func (sp *span) lines(each func(r *report.Report, put func(name string, v float64))) []line {
+	byName := make(map[string]*line)
+	for i, s := range sp.samples {
+		each(s, func(name string, v float64) {
+			l := byName[name]
+			if l == nil {
+				l = &line{name: name, values: slices.Repeat([]float64{math.NaN()}, len(sp.samples))}
+				byName[name] = l
 			}
-			svg, err := timeline{times: times, lines: list, events: events, limit: limit}.chart(top * 1.08)
-			s.Chart = svg
-			return s, err
-		}
+			l.values[i] = v
+		})
 	}
-	return []func() (section, error){
-		draw("Latency over time", "p99 of the last minute in percent of the promise, for each customer and service. The dashed line is the promise.", true, 100,
-			lines(func(r *report.Report, put func(string, float64)) {
-				for i := range r.Customers {
-					if v := ratio(&r.Customers[i]); v >= 0 {
-						put(string(r.Customers[i].Customer)+" "+string(r.Customers[i].Service), v*100)
-					}
-				}
-			})),
-		draw("Headroom over time", "Requests that each region could run now, under its slots and its limit.", false, 0,
-			lines(func(r *report.Report, put func(string, float64)) {
-				for i := range r.Regions {
-					if r.Regions[i].AgeMs >= 0 {
-						put(string(r.Regions[i].Region), float64(r.Regions[i].Headroom))
-					}
-				}
-			})),
-		draw("Links over time", "Response bodies in Mbit/s, mean of the last minute.", false, 0,
-			lines(func(r *report.Report, put func(string, float64)) {
-				for _, l := range r.Links {
-					put(string(l.From)+" > "+string(l.To), float64(l.Used)*8/1e6)
-				}
-			})),
+	list := make([]line, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, *byName[name])
+	}
+	return list
+}
+
+// draw draws lines, with a mark at the limit unless it is 0.
+func (sp *span) draw(s section, limit float64, list []line) (section, error) {
+	if len(list) == 0 {
+		return s, nil
 	}
+	top := max(limit, 1)
+	paint(list, &s, &top)
+	svg, err := timeline{times: sp.times, lines: list, events: sp.events, limit: limit}.chart(top * 1.08)
+	s.Chart = svg
+	return s, err
 }
 
 // paint gives the lines with the highest values a colour and a place in the legend, and raises top to the highest value.
