--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -10,6 +10,7 @@
 	"azurebridge/coordination/homelease"
 	"azurebridge/coordination/membership"
 	"azurebridge/coordination/message"
+	"azurebridge/coordination/reporting"
 	"azurebridge/state"
 )
 
@@ -62,30 +63,32 @@
 	ClaimClient  claims.Stats
 	ClaimWriter  claims.Stats
 	Members      membership.Stats
+	Reporting    reporting.Stats
 }
 
 // Core is the control state of one instance. Control goroutine only.
 type Core struct {
-	self     state.Instance
-	config   *state.Config
-	index    *state.Index
-	table    *membership.Table
-	election *homelease.Election
-	homes    map[state.RegionName]message.HomeClaim // by region, the claim with the highest epoch
-	loads    map[state.RegionName]state.RegionLoad
-	home     *admission.Home          // set while this instance is home of its region
-	epoch    message.Epoch            // of home
-	handed   []*message.GrantHandover // from a home that resigned, until this instance is its successor
-	holder   *admission.Holder
-	beats    beats
-	rollout  configState
-	claims   claimCores
-	leaving  bool
-	changed  bool
-	local    []admission.Outbound // messages to this instance itself, handled before Ready returns
-	ready    Ready
-	opID     uint64
-	Stats    Stats
+	self      state.Instance
+	config    *state.Config
+	index     *state.Index
+	table     *membership.Table
+	election  *homelease.Election
+	homes     map[state.RegionName]message.HomeClaim // by region, the claim with the highest epoch
+	loads     map[state.RegionName]state.RegionLoad
+	home      *admission.Home          // set while this instance is home of its region
+	epoch     message.Epoch            // of home
+	handed    []*message.GrantHandover // from a home that resigned, until this instance is its successor
+	holder    *admission.Holder
+	beats     beats
+	rollout   configState
+	claims    claimCores
+	reporting *reporting.Core
+	leaving   bool
+	changed   bool
+	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
+	ready     Ready
+	opID      uint64
+	Stats     Stats
 }
 
 // NewCore returns the control state of a process that starts at the instant 0 of its clock and knows only itself.
@@ -103,6 +106,7 @@
 	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.initClaims()
+	c.reporting = reporting.New(self)
 	c.changed = true
 	return c
 }
@@ -126,6 +130,8 @@
 		c.probed(now, ev)
 	case Stopping:
 		c.stop(now)
+	case CollectReport:
+		c.reporting.Collect(now, c.reportView(now), ev.Wait, ev.Done)
 	case Inspect:
 		ev.Done(c.dump(now))
 	default:
@@ -152,6 +158,7 @@
 	c.holder.Tick(now)
 	c.tickConfig(now)
 	c.tickClaims(now)
+	c.reporting.Tick(now)
 }
 
 // Ready returns the work since the last call.
@@ -181,6 +188,7 @@
 // collect moves the cores' messages to Ready, or to the local queue when they are for this instance.
 func (c *Core) collect() {
 	c.collectClaims()
+	c.collectReporting()
 	c.post(c.holder.TakeOutbound())
 	c.collectConfig()
 	if c.home != nil {
@@ -245,6 +253,8 @@
 		c.deliverConfig(now, from, b)
 	case *message.ClaimRequest, *message.ClaimReply, *message.OutcomeReport, *message.OutcomeAck:
 		c.deliverClaims(now, from, b)
+	case *message.ReportRequest, *message.ReportPage:
+		c.deliverReporting(now, from, b)
 	default:
 		c.election.Receive(now, from, inc, b)
 	}
--- a/coordination/control/dump.go
+++ b/coordination/control/dump.go
@@ -64,6 +64,7 @@
 	d.Stats.Holder = c.holder.Stats
 	d.Outcomes = c.claims.client.Unacknowledged()
 	d.Stats.ClaimClient, d.Stats.ClaimWriter = c.claims.client.Stats, c.claims.writer.Stats
+	d.Stats.Reporting = c.reporting.Stats
 	for _, r := range c.config.Regions {
 		if h, ok := c.homes[r.Name]; ok {
 			d.Homes = append(d.Homes, h)
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -55,6 +55,8 @@
 	reflect.TypeFor[message.OutcomeAck](),
 	reflect.TypeFor[message.Resign](),
 	reflect.TypeFor[message.GrantHandover](),
+	reflect.TypeFor[message.ReportRequest](),
+	reflect.TypeFor[message.ReportPage](),
 }
 
 var typeBytes = func() map[reflect.Type]byte {
