--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -178,7 +178,7 @@
 	}
 	c.loads[m.Region] = state.RegionLoad{
 		Region: m.Region, Home: m.Home, Epoch: uint64(m.Epoch), Running: m.Running, MaxRunning: m.MaxRunning,
-		Services: m.Services, ReportedAt: now,
+		Services: m.Services, Links: m.Links, Shifts: m.Shifts, ReportedAt: now,
 	}
 	c.changed = true
 }
--- a/state/load.go
+++ b/state/load.go
@@ -10,7 +10,9 @@
 	Running    int
 	MaxRunning int
 	Services   []ServiceLoad
-	ReportedAt Instant // when the report arrived, on the reader's clock
+	Links      []LinkLoad  // that leave the region
+	Shifts     []ShiftLoad // into the region
+	ReportedAt Instant     // when the report arrived, on the reader's clock
 }
 
 // ServiceLoad is the load of one service in one region.
--- a/state/report/build.go
+++ b/state/report/build.go
@@ -22,11 +22,10 @@
 			Missing: append([]state.InstanceName{}, c.Missing...), MissingCount: c.MissingCount, AgeMs: ms(c.Age),
 		})
 	}
-	r.regions(s, p, now)
-	r.links(s.Config, p)
-	for _, sh := range s.Config.Shifts {
-		r.Shifts = append(r.Shifts, ShiftRow{Shift: sh.Name, From: sh.From, To: sh.To, Cap: sh.MaxRunning, Ramp: sh.RampPerSecond})
-	}
+	views := latest(s, p, now)
+	r.regions(s, views)
+	r.links(s.Config, p, views)
+	r.shifts(s.Config, views)
 	for _, d := range s.Config.Drains {
 		r.Drains = append(r.Drains, DrainRow{Kind: d.Kind, Name: d.Name, Running: r.runningUnder(d)})
 	}
@@ -40,17 +39,23 @@
 	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
 }
 
-func (r *Report) regions(s *state.Snapshot, p *Part, now state.Instant) {
-	for _, region := range s.Config.Regions {
-		var view *RegionView
-		for i := range p.Regions {
-			if p.Regions[i].Load.Region == region.Name {
-				view = &p.Regions[i]
-			}
-		}
-		if load, ok := s.Loads[region.Name]; ok && (view == nil || now.Sub(load.ReportedAt) < view.Age) {
-			view = &RegionView{Load: load, Age: now.Sub(load.ReportedAt)}
+// latest returns the latest load of each region that the fleet or the asked instance knows.
+func latest(s *state.Snapshot, p *Part, now state.Instant) map[state.RegionName]*RegionView {
+	views := make(map[state.RegionName]*RegionView)
+	for i := range p.Regions {
+		views[p.Regions[i].Load.Region] = &p.Regions[i]
+	}
+	for name, load := range s.Loads {
+		if v := views[name]; v == nil || now.Sub(load.ReportedAt) < v.Age {
+			views[name] = &RegionView{Load: load, Age: now.Sub(load.ReportedAt)}
 		}
+	}
+	return views
+}
+
+func (r *Report) regions(s *state.Snapshot, views map[state.RegionName]*RegionView) {
+	for _, region := range s.Config.Regions {
+		view := views[region.Name]
 		row := RegionRow{Region: region.Name, MaxRunning: region.MaxRunning, AgeMs: -1, Drained: s.Config.RegionDrained(region.Name), Services: []ServiceRow{}}
 		if view != nil {
 			row.fill(view)
@@ -79,7 +84,21 @@
 	}
 }
 
-func (r *Report) links(c *state.Config, p *Part) {
+func (r *Report) shifts(c *state.Config, views map[state.RegionName]*RegionView) {
+	for _, sh := range c.Shifts {
+		row := ShiftRow{Shift: sh.Name, From: sh.From, To: sh.To, Cap: sh.MaxRunning, Ramp: sh.RampPerSecond}
+		if v := views[sh.To]; v != nil {
+			for _, l := range v.Load.Shifts {
+				if l.Shift == sh.Name {
+					row.Allowed, row.Running = &l.Allowed, &l.Running
+				}
+			}
+		}
+		r.Shifts = append(r.Shifts, row)
+	}
+}
+
+func (r *Report) links(c *state.Config, p *Part, views map[state.RegionName]*RegionView) {
 	for _, l := range c.Links {
 		row := LinkRow{From: l.From, To: l.To, Capacity: l.BytesPerSecond}
 		for _, u := range p.Links {
@@ -87,7 +106,15 @@
 				row.Used = int64(float64(u.Bytes) / u.Length.Seconds())
 			}
 		}
-		row.Headroom = max(row.Capacity-row.Used, 0)
+		used := row.Used
+		if v := views[l.From]; v != nil {
+			for _, load := range v.Load.Links {
+				if load.To == l.To {
+					row.Reserved, used = &load.Reserved, max(used, load.Reserved)
+				}
+			}
+		}
+		row.Headroom = max(row.Capacity-used, 0)
 		r.Links = append(r.Links, row)
 	}
 }
