edge: resume bodies that end early, move them off drained servers

A body that ended early cut the caller's connection, also when another backend server could have sent the rest, and a drain left long bodies where they were.

The same step moves a body whose server a new configuration drains; while no other server can be had, the drained one goes on. A changed validator, and a whole answer to the resume, abort the caller's connection.

Refused, and asked for at another server: a 206 with another Content-Range than was asked for, and a body whose end is told only by closing the connection, as a lost connection would look the same.

--- a/transport/edge/carry.go
+++ b/transport/edge/carry.go
@@ -22,47 +22,48 @@
 
 // attempt is one try of a request at one backend server.
 type attempt struct {
-	answer admission.Answer
-	server *state.BackendServer
-	start  time.Time
+	answer  admission.Answer
+	server  *state.BackendServer
+	start   time.Time
+	latency time.Duration // to the response header
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	ticket  *ticket
+	idle    *time.Timer // ends an idle read of the body
+	resp    *http.Response
+	proof   backend.Proof
+	err     error
 }
 
 // carry runs a request: it gets a grant, sends the request, and passes the answer on. It tries another backend server
 // only when it is proved that the request has not run, or when running it twice is harmless.
 func (m *Manager) carry(w http.ResponseWriter, rq *request) {
-	ctx, cancel := context.WithCancelCause(rq.http.Context())
-	defer cancel(nil)
+	ctx := rq.http.Context()
 	if rq.deadline > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, rq.deadline)
 		defer stop()
 	}
-	rq.http.Body = http.MaxBytesReader(w, rq.http.Body, m.opts.MaxBody)
+	if rq.http.ContentLength != 0 {
+		rq.http.Body = http.MaxBytesReader(w, rq.http.Body, m.opts.MaxBody)
+	}
 	var exclude []state.BackendName
 	for n := 0; n < MaxAttempts; n++ {
 		if n > 0 {
 			m.Stats.Retries.Add(1)
 		}
-		t := newTicket(cancel)
-		at, refusal, err := m.admit(ctx, t, rq, exclude)
+		at, refusal, err := m.open(ctx, rq, exclude)
 		if err != nil || refusal != message.RefusedNone {
 			m.refuse(w, refusal, at.answer.After, err)
 			return
 		}
-		resp, proof, err := m.send(ctx, rq, at)
-		if proof == backend.ProofAnswered {
-			m.pass(w, rq, at, resp)
+		if at.proof == backend.ProofAnswered {
+			m.pass(ctx, w, rq, at)
 			return
 		}
-		m.release(at, resultOf(proof, err))
-		if resp != nil {
-			_ = resp.Body.Close()
-		}
-		if t.fenced.Load() {
-			m.Stats.Fenced.Add(1)
-		}
-		if !mayRetry(rq, proof) || ctx.Err() != nil {
-			m.fail(w, rq, at, proof, err)
+		m.discard(at)
+		if !mayRetry(rq, at.proof) || ctx.Err() != nil {
+			m.fail(w, rq, at, at.proof, at.err)
 			return
 		}
 		exclude = append(exclude, at.server.Name)
@@ -70,6 +71,46 @@
 	m.refuse(w, message.RefusedNoBackend, time.Second, nil)
 }
 
+// open gets a grant and sends the request under it. The attempt ends with finish or discard unless there is a refusal or
+// an error.
+func (m *Manager) open(ctx context.Context, rq *request, exclude []state.BackendName) (*attempt, message.Refusal, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := newTicket(cancel)
+	at, refusal, err := m.admit(ctx, t, rq, exclude)
+	if err != nil || refusal != message.RefusedNone {
+		cancel(nil)
+		return at, refusal, err
+	}
+	at.ctx, at.cancel, at.ticket = ctx, cancel, t
+	at.resp, at.proof, at.err = m.send(ctx, rq, at)
+	at.latency = time.Since(at.start)
+	if at.proof == backend.ProofAnswered {
+		if err := checkFraming(rq.sent, at.resp); err != nil {
+			m.Stats.BadAnswers.Add(1)
+			at.proof, at.err = backend.ProofNone, err
+		}
+	}
+	return at, message.RefusedNone, nil
+}
+
+// finish ends an attempt and gives its grant back.
+func (m *Manager) finish(at *attempt, r message.Result) {
+	if at.idle != nil {
+		at.idle.Stop()
+	}
+	if at.resp != nil {
+		_ = at.resp.Body.Close()
+	}
+	at.cancel(nil)
+	if at.ticket.fenced.Load() {
+		m.Stats.Fenced.Add(1)
+	}
+	m.release(at, r)
+}
+
+// discard ends an attempt that gave no answer to pass on.
+func (m *Manager) discard(at *attempt) { m.finish(at, resultOf(at.proof, at.err)) }
+
 // mayRetry reports whether the request may be sent to another backend server.
 func mayRetry(rq *request, proof backend.Proof) bool {
 	if rq.http.ContentLength != 0 && proof != backend.ProofNotSent {
@@ -82,7 +123,7 @@
 	switch {
 	case proof == backend.ProofRefused:
 		return message.ResultShed
-	case errors.Is(err, backend.ErrFirstByte):
+	case errors.Is(err, backend.ErrFirstByte), errors.Is(err, errBodyIdle):
 		return message.ResultTimeout
 	default:
 		return message.ResultFailed
@@ -97,7 +138,7 @@
 	if refusal != message.RefusedNone {
 		return at, refusal, nil
 	}
-	ask := &admission.Ask{Service: rq.service.Name, Customer: rq.customer, Regions: targets, Wait: rq.service.QueueTimeout, Exclude: exclude}
+	ask := &admission.Ask{Service: rq.service.Name, Customer: rq.customer, Regions: targets, Wait: rq.wait, Exclude: exclude}
 	if err := m.opts.Control.Offer(control.Admit{Ask: ask, Asker: t}); err != nil {
 		return at, message.RefusedBusy, nil
 	}
@@ -119,9 +160,11 @@
 }
 
 func (m *Manager) release(at *attempt, r message.Result) {
-	m.opts.Control.Release(at.answer.Region, message.Release{
-		ID: at.answer.ID, Backend: at.answer.Backend, Result: r, Latency: time.Since(at.start),
-	})
+	latency := at.latency
+	if latency == 0 {
+		latency = time.Since(at.start)
+	}
+	m.opts.Control.Release(at.answer.Region, message.Release{ID: at.answer.ID, Backend: at.answer.Backend, Result: r, Latency: latency})
 }
 
 // send sends the request to the backend server of the grant.
@@ -144,39 +187,16 @@
 			out.Header.Set(callers.HeaderSubmissionKey, rq.key)
 		}
 	}
+	if rq.part != nil {
+		setPart(out.Header, rq.part)
+	}
+	rq.sent = out
 	if d, ok := ctx.Deadline(); ok {
 		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
 	return m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once()})
 }
 
-// pass passes an answer on. When its body ends early, the caller's connection is aborted, so that a part is never
-// taken for the whole (invariant whole-answer).
-func (m *Manager) pass(w http.ResponseWriter, rq *request, at *attempt, resp *http.Response) {
-	defer resp.Body.Close()
-	latency := time.Since(at.start)
-	h := w.Header()
-	copyHeader(h, resp.Header)
-	h.Set(callers.HeaderOutcome, string(callers.OutcomeRan))
-	w.WriteHeader(resp.StatusCode)
-	buf := m.buffers.Get().(*[]byte)
-	n, readErr, writeErr := stream(w, resp.Body, *buf)
-	m.buffers.Put(buf)
-	m.Stats.BytesCarried.Add(uint64(n))
-	result := message.ResultOK
-	if readErr != nil || resp.StatusCode >= http.StatusInternalServerError {
-		result = message.ResultFailed
-	}
-	m.opts.Control.Release(at.answer.Region, message.Release{ID: at.answer.ID, Backend: at.answer.Backend, Result: result, Latency: latency})
-	switch {
-	case readErr != nil:
-		m.Stats.CutAnswers.Add(1)
-		panic(http.ErrAbortHandler)
-	case writeErr != nil:
-		m.Stats.CallerGone.Add(1)
-	}
-}
-
 // refuse answers a request that has not run.
 func (m *Manager) refuse(w http.ResponseWriter, why message.Refusal, after time.Duration, err error) {
 	m.Stats.Refused.Add(1)
--- /dev/null
+++ b/transport/edge/fake_test.go
@@ -0,0 +1,129 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/admission"
+	"azurebridge/coordination/control"
+	"azurebridge/coordination/message"
+	"azurebridge/state"
+	"azurebridge/transport/backend"
+	"azurebridge/transport/edge"
+)
+
+// fakeControl answers each request for a grant at once with the first backend server that is allowed.
+type fakeControl struct {
+	snapshot atomic.Pointer[state.Snapshot]
+	mu       sync.Mutex
+	asks     []*admission.Ask
+	given    uint64
+	results  map[message.GrantID]message.Result // of released grants
+}
+
+func (f *fakeControl) Snapshot() *state.Snapshot     { return f.snapshot.Load() }
+func (f *fakeControl) Report(*message.OutcomeReport) {}
+func (f *fakeControl) Release(_ state.RegionName, r message.Release) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, twice := f.results[r.ID]; twice {
+		panic(fmt.Sprintf("grant %v released twice", r.ID))
+	}
+	f.results[r.ID] = r.Result
+}
+
+func (f *fakeControl) Offer(ev control.Event) error {
+	ask := ev.(control.Admit)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asks = append(f.asks, ask.Ask)
+	s := f.snapshot.Load()
+	for i := range s.Config.Backends {
+		b := &s.Config.Backends[i]
+		if b.Service == ask.Ask.Service && !slices.Contains(ask.Ask.Exclude, b.Name) && !s.Config.Drained(b) {
+			f.given++
+			ask.Asker.Answer(admission.Answer{ID: message.GrantID(f.given), Region: b.Region, Backend: b.Name})
+			return nil
+		}
+	}
+	ask.Asker.Answer(admission.Answer{Refusal: message.RefusedNoBackend})
+	return nil
+}
+
+func (f *fakeControl) change(edit func(c *state.Config, s *state.Snapshot)) {
+	s := *f.snapshot.Load()
+	s.Config = s.Config.Clone()
+	s.Config.Revision++
+	edit(s.Config, &s)
+	s.Index = state.NewIndex(s.Config)
+	f.snapshot.Store(&s)
+}
+
+// held returns the number of grants that were given and not released.
+func (f *fakeControl) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int(f.given) - len(f.results)
+}
+
+// front is an edge with a fake control goroutine and backend servers b0, b1, ... of the service "tapes".
+type front struct {
+	*WithT
+	control *fakeControl
+	edge    *edge.Manager
+	server  *httptest.Server
+}
+
+func newFront(t *testing.T, service state.Service, backends ...http.HandlerFunc) *front {
+	f := &front{WithT: NewWithT(t), control: &fakeControl{results: make(map[message.GrantID]message.Result)}}
+	service.Name = "tapes"
+	cfg := &state.Config{
+		Revision: 1, Regions: []state.Region{{Name: "r", MaxRunning: 100}}, Services: []state.Service{service},
+		Plans:     []state.Plan{{Name: "p", Regions: []state.RegionName{"r"}, Services: []state.PlanService{{Service: "tapes"}}}},
+		Customers: []state.Customer{{Name: "c", Plan: "p"}},
+	}
+	for i, h := range backends {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		cfg.Backends = append(cfg.Backends, state.BackendServer{
+			Name: state.BackendName(fmt.Sprintf("b%d", i)), Service: "tapes", Region: "r",
+			Address: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")),
+		})
+	}
+	self := state.Instance{Name: "e", Region: "r", Status: state.InstanceLive}
+	f.control.snapshot.Store(&state.Snapshot{Self: self, Config: cfg, Index: state.NewIndex(cfg), Instances: []state.Instance{self}})
+	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(nil), Log: hclog.NewNullLogger()})
+	f.server = httptest.NewUnstartedServer(nil)
+	f.server.Config = f.edge.Server()
+	f.server.Start()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *front) get(header ...string) *http.Response {
+	resp, err := f.request(header...)
+	f.Expect(err).NotTo(HaveOccurred())
+	return resp
+}
+
+func (f *front) request(header ...string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodGet, f.server.URL+"/tapes/1", nil)
+	f.Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Azb-Customer", "c")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	return client.Do(req)
+}
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -18,6 +18,9 @@
 	customer state.CustomerName
 	key      string        // idempotency key; empty when absent
 	deadline time.Duration // 0 means no limit
+	wait     time.Duration // longest wait for a slot
+	part     *part         // asked for instead, when a body is resumed
+	sent     *http.Request // as it was last sent to a backend server
 }
 
 // once reports whether the request must run at most once.
@@ -44,7 +47,7 @@
 	if r.ContentLength > maxBody {
 		return nil, &callers.Problem{Status: http.StatusRequestEntityTooLarge, Outcome: callers.OutcomeNotRun, Reason: "body_too_large", Detail: fmt.Sprintf("limit is %d bytes", maxBody)}
 	}
-	rq := &request{http: r, snapshot: s, service: service, customer: customer}
+	rq := &request{http: r, snapshot: s, service: service, customer: customer, wait: service.QueueTimeout}
 	if keys, ok := r.Header[callers.HeaderIdempotencyKey]; ok {
 		if len(keys) != 1 {
 			return nil, bad("idempotency_key", "more than one idempotency key")
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -52,6 +52,10 @@
 	Unknown      atomic.Uint64 // answered "unknown"
 	Retries      atomic.Uint64
 	CutAnswers   atomic.Uint64 // answers aborted because the body ended early
+	BadAnswers   atomic.Uint64 // refused because their bytes or their end could be mistaken
+	Resumed      atomic.Uint64 // bodies continued at another backend server after an early end
+	Moved        atomic.Uint64 // bodies moved off a drained backend server
+	MoveFailed   atomic.Uint64 // attempts to move that left the body where it was
 	CallerGone   atomic.Uint64
 	Replayed     atomic.Uint64 // submissions answered from the record of an earlier attempt
 	Fenced       atomic.Uint64 // requests cancelled because their grant could not be renewed
