edge: end a planned stop without cutting requests in flight

Look-ups now leave the instance out as soon as it is leaving. Answers carry Connection: close while it stops. Requests in flight finish without limit, unless stop_grace sets one. copyHeader removed Connection from the answer itself; it now leaves fields that were set for the caller's connection alone.

--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -24,9 +24,8 @@
 	"azurebridge/transport/platform"
 )
 
-// lookupGrace is how long a stopping instance still accepts new requests: until the look-ups that callers cache name
-// it no more.
-const lookupGrace = 6 * time.Second
+// reportLinger is how long the control goroutine runs on after the last request, to send its outcome and its release.
+const reportLinger = 500 * time.Millisecond
 
 // run wires the entry instance and serves until a signal.
 func run(path string, checkOnly bool) error {
@@ -70,11 +69,11 @@
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
 	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
-	return serve(ctx, cfg, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
+	return serve(ctx, cfg, ed, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
 }
 
 // serve runs the HTTP servers until a signal, then stops without cutting requests in flight.
-func serve(ctx context.Context, cfg *settings.Entry, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, log hclog.Logger) error {
+func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, log hclog.Logger) error {
 	callersLn, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -98,24 +97,19 @@
 				writeDump(ctx, ops, log)
 				continue
 			}
-			return stop(cfg, callers, loop, log)
+			return stop(ctx, cfg, ed, callers, loop, log)
 		}
 	}
 }
 
-func stop(cfg *settings.Entry, callers *http.Server, loop *control.Loop, log hclog.Logger) error {
+func stop(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers *http.Server, loop *control.Loop, log hclog.Logger) error {
 	log.Info("planned stop begins")
 	if err := loop.Offer(control.Stopping{}); err != nil {
 		log.Warn("planned stop not announced", "error", err)
 	}
-	time.Sleep(lookupGrace)
-	ctx := context.Background()
-	if cfg.StopGrace > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, cfg.StopGrace)
-		defer cancel()
-	}
-	return errors.Wrap(callers.Shutdown(ctx), "planned stop")
+	err := ed.Stop(ctx, callers, cfg.StopGrace)
+	time.Sleep(reportLinger)
+	return err
 }
 
 func writeDump(ctx context.Context, ops *operators.Manager, log hclog.Logger) {
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -109,7 +109,7 @@
 	n := 0
 	for i := range s.Instances {
 		in := &s.Instances[i]
-		if in.Status != state.InstanceLive {
+		if in.Status != state.InstanceLive || (s.Leaving && in.Name == s.Self.Name) {
 			continue
 		}
 		score := entryScore(in, region, caller)
--- a/transport/edge/fake_test.go
+++ b/transport/edge/fake_test.go
@@ -103,7 +103,7 @@
 	}
 	self := state.Instance{Name: "e", Region: "r", Status: state.InstanceLive}
 	f.control.snapshot.Store(&state.Snapshot{Self: self, Config: cfg, Index: state.NewIndex(cfg), Instances: []state.Instance{self}})
-	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(nil), Log: hclog.NewNullLogger()})
+	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(nil), Log: hclog.NewNullLogger(), LookupWait: 300 * time.Millisecond})
 	f.server = httptest.NewUnstartedServer(nil)
 	f.server.Config = f.edge.Server()
 	f.server.Start()
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -72,22 +72,28 @@
 	return &callers.Problem{Status: http.StatusBadRequest, Outcome: callers.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
-// hopByHop lists the header fields that belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopByHop reports whether a header field belongs to one connection (RFC 9110, section 7.6.1).
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
 }
 
-// copyHeader copies end-to-end header fields.
+// copyHeader copies end-to-end header fields. The values are shared, not copied.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = values
+		if !hopByHop(name) {
+			dst[name] = values
+		}
 	}
 	for _, list := range src["Connection"] {
 		for _, name := range strings.Split(list, ",") {
-			dst.Del(strings.TrimSpace(name))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !hopByHop(name) {
+				delete(dst, name)
+			}
 		}
 	}
-	for _, name := range hopByHop {
-		delete(dst, name)
-	}
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -40,7 +40,9 @@
 	Backends  *backend.Client
 	MaxBody   int64 // bytes of a request body
 	MaxHeader int   // bytes of a request header
-	Log       hclog.Logger
+	// LookupWait is how long a stopping instance accepts new requests; 0 means DefaultLookupWait.
+	LookupWait time.Duration
+	Log        hclog.Logger
 }
 
 // Stats counts requests of callers.
@@ -65,9 +67,10 @@
 
 // Manager answers callers.
 type Manager struct {
-	opts    Options
-	buffers sync.Pool
-	Stats   Stats
+	opts     Options
+	buffers  sync.Pool
+	stopping atomic.Bool
+	Stats    Stats
 }
 
 // New returns a manager.
@@ -78,6 +81,9 @@
 	if opts.MaxHeader == 0 {
 		opts.MaxHeader = DefaultMaxHeader
 	}
+	if opts.LookupWait == 0 {
+		opts.LookupWait = DefaultLookupWait
+	}
 	m := &Manager{opts: opts}
 	m.buffers.New = func() any { b := make([]byte, copyBuffer); return &b }
 	return m
@@ -96,8 +102,14 @@
 	}
 }
 
+// closing asks a caller to open no request on its connection again; for HTTP/2 net/http turns it into GOAWAY.
+var closing = []string{"close"}
+
 // ServeHTTP answers one request.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if m.stopping.Load() {
+		w.Header()["Connection"] = closing
+	}
 	if len(r.URL.Path) > len(callers.PathPrefix) && r.URL.Path[:len(callers.PathPrefix)] == callers.PathPrefix {
 		m.serveOwn(w, r)
 		return
