backend: close unused connections after a first-byte timeout

CloseIdle existed but nothing called it, so after one connection had gone silent the other pooled ones to the same server still received new requests for up to MaxIdleConn.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -133,6 +133,11 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
+		if errors.Is(err, ErrFirstByte) {
+			// What silenced this connection may have silenced the unused ones too. Closing those to other servers as
+			// well costs about 1 ms each.
+			c.CloseIdle()
+		}
 		cancel(nil)
 		if connected.Load() {
 			c.Counters.NoProof.Add(1)
--- a/transport/edge/fake_test.go
+++ b/transport/edge/fake_test.go
@@ -1,7 +1,9 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -83,6 +85,24 @@
 	control *fakeControl
 	edge    *edge.Manager
 	server  *httptest.Server
+
+	opened, closed atomic.Int32 // connections to backend servers
+}
+
+func (f *front) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := backend.Dial(ctx, network, address)
+	f.opened.Add(1)
+	return &countedConn{Conn: c, closed: sync.OnceFunc(func() { f.closed.Add(1) })}, err
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 func newFront(t *testing.T, service state.Service, backends ...http.HandlerFunc) *front {
@@ -103,7 +123,7 @@
 	}
 	self := state.Instance{Name: "e", Region: "r", Status: state.InstanceLive}
 	f.control.snapshot.Store(&state.Snapshot{Self: self, Config: cfg, Index: state.NewIndex(cfg), Instances: []state.Instance{self}})
-	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(nil), Log: hclog.NewNullLogger(), LookupWait: 300 * time.Millisecond})
+	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(f.dial), Log: hclog.NewNullLogger(), LookupWait: 300 * time.Millisecond})
 	f.server = httptest.NewUnstartedServer(nil)
 	f.server.Config = f.edge.Server()
 	f.server.Start()
--- a/transport/edge/resume_test.go
+++ b/transport/edge/resume_test.go
@@ -148,8 +148,8 @@
 func TestDrainMovesBody(t *testing.T) {
 	for _, alone := range []bool{false, true} {
 		var drained, second atomic.Int32
-		f := newFront(t, download)
-		*f = *newFront(t, download, func(w http.ResponseWriter, r *http.Request) {
+		var f *front
+		f = newFront(t, download, func(w http.ResponseWriter, r *http.Request) {
 			whole(`"v1"`)(&cutWriter{ResponseWriter: w, left: 1000, stop: func() {
 				f.control.change(func(c *state.Config, _ *state.Snapshot) {
 					c.Drains = []state.Drain{{Kind: state.DrainBackend, Name: "b0"}}
