edge: pace bodies to the rate that is reserved for them

The grant reserves Service.BytesPerSecond on the link, but bodies were copied as fast as the connections allow, so links could carry more than was reserved.

Bodies from another region, and all bodies of download and stream services, are now paced: reads of at most 20 ms of the rate, at most 20 ms ahead of it. A token calculation of our own, because rate.Limiter would cost a lock and a timer for each body also where there is no limit.

--- a/transport/edge/resume.go
+++ b/transport/edge/resume.go
@@ -206,7 +206,7 @@
 		at, err := x.reopen(x.rq.service.QueueTimeout)
 		if err == nil {
 			x.m.Stats.Resumed.Add(1)
-			x.at, x.drained, x.revision, x.snapshot = at, false, 0, nil
+			x.use(at)
 			return true
 		}
 		if errors.Is(err, errChanged) || !pause(x.ctx, ResumePause) {
@@ -245,7 +245,13 @@
 	}
 	x.m.Stats.Moved.Add(1)
 	x.m.finish(x.at, message.ResultOK)
+	x.use(at)
+}
+
+// use reads the body under another grant from now on, at the rate that this grant reserves.
+func (x *transfer) use(at *attempt) {
 	x.at, x.drained, x.revision, x.snapshot = at, false, 0, nil
+	x.pacer.rate = paceRate(x.rq.service, x.rq.snapshot.Self.Region, at.answer.Region)
 }
 
 // pause waits for d. It returns false when ctx ended first.
--- a/transport/edge/transfer.go
+++ b/transport/edge/transfer.go
@@ -32,6 +32,7 @@
 	resumedAt int64
 	exclude   []state.BackendName
 
+	pacer    pacer
 	idle     time.Duration // longest read; 0 means no limit
 	snapshot *state.Snapshot
 	revision state.Revision // for which drained is known
@@ -52,6 +53,7 @@
 		return
 	}
 	x := &transfer{m: m, w: w, rq: rq, ctx: ctx, at: at, length: resp.ContentLength}
+	x.pacer.rate = paceRate(rq.service, rq.snapshot.Self.Region, at.answer.Region)
 	x.part, x.canResume = resumable(rq.http, resp)
 	x.next, x.resumedAt = x.part.first, x.part.first
 	if k := rq.service.Kind; k == state.KindDownload || k == state.KindStream {
@@ -99,7 +101,7 @@
 		if x.moveDue() {
 			x.move()
 		}
-		n, err := x.read(buf)
+		n, err := x.read(x.pacer.chunk(buf))
 		if x.length >= 0 && int64(n) > x.length-x.passed {
 			return errBodyLong, nil
 		}
@@ -108,10 +110,11 @@
 				return nil, werr
 			}
 			x.passed, x.next = x.passed+int64(n), x.next+int64(n)
-			if n < len(buf) && x.passed != x.length && err == nil && flusher != nil {
+			if (n < len(buf) || x.pacer.rate > 0) && x.passed != x.length && err == nil && flusher != nil {
 				flusher.Flush()
 			}
 		}
+		x.pacer.wait(x.ctx, n)
 		switch {
 		case err == nil || x.passed == x.length:
 		case err == io.EOF && x.length < 0:
