backend, fleet, azb-entry: use the instance's own address, delay messages in trials

Connections to backend servers had any local address, so the stand-in could not tell which entry instance, and so which region, a request came from. They are now bound to the IP number of the callers' interface. Messages to other instances leave from the socket that the instance listens on.

Each message waits for its own due time in the bounded queue; before, the sender slept for the delay in front of each batch.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -65,7 +66,7 @@
 // New returns a client that opens connections with dial, or directly when dial is nil.
 func New(dial Dialer) *Client {
 	if dial == nil {
-		dial = Dial
+		dial = DialFrom(netip.Addr{})
 	}
 	base := http.Transport{
 		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
@@ -77,8 +78,9 @@
 	return &Client{pooled: base.Clone(), single: single}
 }
 
-// Dial opens a TCP connection that finds out within UnackedTimeout when the other end is gone.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+// DialFrom returns a Dialer whose connections have the local address ip, so that backend servers can tell entry instances
+// apart. A connection finds out within UnackedTimeout when the other end is gone.
+func DialFrom(ip netip.Addr) Dialer {
 	d := net.Dialer{
 		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -95,7 +97,10 @@
 			return optErr
 		},
 	}
-	return d.DialContext(ctx, network, address)
+	if ip.IsValid() && !ip.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+	}
+	return d.DialContext
 }
 
 // Call is one request to one backend server.
--- a/transport/edge/fake_test.go
+++ b/transport/edge/fake_test.go
@@ -25,6 +25,9 @@
 	"azurebridge/transport/edge"
 )
 
+// entryIP is the address of the entry instance.
+const entryIP = "127.0.0.2"
+
 // fakeControl answers each request for a grant at once with the first backend server that is allowed.
 type fakeControl struct {
 	snapshot atomic.Pointer[state.Snapshot]
@@ -90,7 +93,7 @@
 }
 
 func (f *front) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := backend.Dial(ctx, network, address)
+	c, err := backend.DialFrom(netip.MustParseAddr(entryIP))(ctx, network, address)
 	f.opened.Add(1)
 	return &countedConn{Conn: c, closed: sync.OnceFunc(func() { f.closed.Add(1) })}, err
 }
--- a/transport/edge/silent_test.go
+++ b/transport/edge/silent_test.go
@@ -67,3 +67,11 @@
 	f.Expect(resp.Header.Get("Azb-Outcome")).To(Equal("unknown"))
 	f.Expect(calls.Load()).To(BeEquivalentTo(1))
 }
+
+// Guards against backend servers taking all entry instances of a machine for one.
+func TestBackendSeesEntryAddress(t *testing.T) {
+	seen := make(chan string, 1)
+	f := newFront(t, state.Service{Kind: state.KindLookup}, func(_ http.ResponseWriter, r *http.Request) { seen <- r.RemoteAddr })
+	_ = f.get().Body.Close()
+	f.Expect(<-seen).To(HavePrefix(entryIP + ":"))
+}
--- a/transport/fleet/fleet.go
+++ b/transport/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,7 @@
 // Manager sends and receives messages.
 type Manager struct {
 	opts     Options
+	socket   *quic.Transport // for both directions, so that peers see the address that this instance listens on
 	listener *quic.Listener
 	deliver  func(control.Event) error
 	Stats    Stats
@@ -69,11 +71,21 @@
 
 // New listens for other instances.
 func New(opts Options) (*Manager, error) {
-	ln, err := quic.ListenAddr(opts.Listen, opts.Identity.Server(identity.RoleInstance, Protocol), quicConfig())
+	addr, err := net.ResolveUDPAddr("udp", opts.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for instances on %s", opts.Listen)
 	}
-	return &Manager{opts: opts, listener: ln, peers: make(map[state.InstanceName]*peer)}, nil
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for instances on %s", opts.Listen)
+	}
+	socket := &quic.Transport{Conn: conn}
+	ln, err := socket.Listen(opts.Identity.Server(identity.RoleInstance, Protocol), quicConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "listen for instances on %s", opts.Listen)
+	}
+	return &Manager{opts: opts, socket: socket, listener: ln, peers: make(map[state.InstanceName]*peer)}, nil
 }
 
 func quicConfig() *quic.Config {
@@ -88,7 +100,11 @@
 // Run accepts connections and passes each message to deliver until ctx ends.
 func (m *Manager) Run(ctx context.Context, deliver func(control.Event) error) {
 	m.deliver = deliver
-	context.AfterFunc(ctx, func() { _ = m.listener.Close() })
+	context.AfterFunc(ctx, func() {
+		_ = m.listener.Close()
+		_ = m.socket.Close()
+		_ = m.socket.Conn.Close()
+	})
 	for {
 		conn, err := m.listener.Accept(ctx)
 		if err != nil {
@@ -153,16 +169,20 @@
 
 // Send queues a message for its receiver. It never blocks; a message for a full queue is dropped and counted.
 func (m *Manager) Send(e *message.Envelope) {
+	q := queued{envelope: e}
+	if m.opts.Delay != nil {
+		q.due = time.Now().Add(m.opts.Delay(e.To))
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[e.To]
 	if p == nil {
-		p = &peer{name: e.To, queue: make(chan *message.Envelope, MaxQueuedPerPeer)}
+		p = &peer{name: e.To, queue: make(chan queued, MaxQueuedPerPeer)}
 		m.peers[e.To] = p
 		go p.run(m)
 	}
 	select {
-	case p.queue <- e:
+	case p.queue <- q:
 	default:
 		m.Stats.Dropped.Add(1)
 	}
--- a/transport/fleet/peer.go
+++ b/transport/fleet/peer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,10 +16,16 @@
 	"azurebridge/transport/identity"
 )
 
+// queued is a message that waits for its peer. In trials it is due later than it was queued.
+type queued struct {
+	envelope *message.Envelope
+	due      time.Time
+}
+
 // peer sends queued messages to one instance. Its fields but queue belong to its goroutine.
 type peer struct {
 	name    state.InstanceName
-	queue   chan *message.Envelope
+	queue   chan queued
 	conn    *quic.Conn
 	writer  *bufio.Writer
 	address string
@@ -31,9 +38,9 @@
 	defer idle.Stop()
 	for {
 		select {
-		case e := <-p.queue:
+		case q := <-p.queue:
 			idle.Reset(PeerIdleTimeout)
-			if err := p.sendAll(m, e); err != nil {
+			if err := p.sendAll(m, q); err != nil {
 				p.drop(m, err)
 			}
 		case <-idle.C:
@@ -57,23 +64,25 @@
 	return true
 }
 
-// sendAll writes e and what else is queued with one flush.
-func (p *peer) sendAll(m *Manager, e *message.Envelope) error {
-	if m.opts.Delay != nil {
-		if d := m.opts.Delay(p.name); d > 0 {
-			time.Sleep(d) // trials only: the queue behind it forms one batch
-		}
-	}
+// sendAll writes q and what else is queued and due, with one flush.
+func (p *peer) sendAll(m *Manager, q queued) error {
+	time.Sleep(time.Until(q.due)) // trials only; each message waits for its own time, not for those before it
 	if err := p.connect(m); err != nil {
 		m.Stats.Dropped.Add(1)
 		return err
 	}
 	for {
-		if err := p.write(m, e); err != nil {
+		if err := p.write(m, q.envelope); err != nil {
 			return err
 		}
 		select {
-		case e = <-p.queue:
+		case q = <-p.queue:
+			if wait := time.Until(q.due); wait > 0 {
+				if err := p.writer.Flush(); err != nil {
+					return errors.Wrapf(err, "send to instance %s", p.name)
+				}
+				time.Sleep(wait)
+			}
 			continue
 		default:
 		}
@@ -115,7 +124,11 @@
 	p.close()
 	ctx, cancel := context.WithTimeout(context.Background(), HandshakeTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, address, m.opts.Identity.Client(identity.RoleInstance, Protocol), quicConfig())
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return errors.Wrapf(err, "connect to instance %s at %s", p.name, address)
+	}
+	conn, err := m.socket.Dial(ctx, udp, m.opts.Identity.Client(identity.RoleInstance, Protocol), quicConfig())
 	if err != nil {
 		m.Stats.DialFailed.Add(1)
 		return errors.Wrapf(err, "connect to instance %s at %s", p.name, address)
