edge: refuse malformed requests, test smuggling shapes

Found by the table test and answered 200 before: two deadlines (the first won), ".." segments that lead out of the service, Azb-Submission-Key from a caller, Connection naming a field of the system, and CONNECT (404). All are now 4xx with problem details and are counted.

--- a/transport/edge/fake_test.go
+++ b/transport/edge/fake_test.go
@@ -108,7 +108,7 @@
 	return c.Conn.Close()
 }
 
-func newFront(t *testing.T, service state.Service, backends ...http.HandlerFunc) *front {
+func newFront(t testing.TB, service state.Service, backends ...http.HandlerFunc) *front {
 	f := &front{WithT: NewWithT(t), control: &fakeControl{results: make(map[message.GrantID]message.Result)}}
 	service.Name = "tapes"
 	cfg := &state.Config{
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -30,10 +30,8 @@
 
 // parse checks a request. The problem is nil when it may be carried.
 func parse(s *state.Snapshot, r *http.Request, maxBody int64) (*request, *callers.Problem) {
-	for name := range r.Header {
-		if strings.HasPrefix(name, callers.HeaderInternalPrefix) || name == callers.HeaderNotRun {
-			return nil, bad("internal_header", "header "+name+" is reserved")
-		}
+	if p := checkShape(r); p != nil {
+		return nil, p
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	service := s.Index.Service[state.ServiceName(name)]
@@ -57,6 +55,9 @@
 		}
 		rq.key = keys[0]
 	}
+	if len(r.Header[callers.HeaderDeadline]) > 1 {
+		return nil, bad("deadline", "more than one deadline")
+	}
 	deadline, err := callers.ParseDeadline(r.Header)
 	if err != nil {
 		return nil, bad("deadline", err.Error())
@@ -68,6 +69,38 @@
 	return rq, nil
 }
 
+// checkShape refuses what a backend server could read in another way than this instance: fields that only the system sets,
+// fields of the system that the caller declares to belong to one connection, and paths that lead out of their service.
+func checkShape(r *http.Request) *callers.Problem {
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return &callers.Problem{Status: http.StatusMethodNotAllowed, Outcome: callers.OutcomeNotRun, Reason: "method"}
+	}
+	for name := range r.Header {
+		if len(name) > 4 && name[:4] == systemPrefix &&
+			(strings.HasPrefix(name, callers.HeaderInternalPrefix) || name == callers.HeaderNotRun || name == callers.HeaderSubmissionKey) {
+			return bad("internal_header", "header "+name+" is reserved")
+		}
+	}
+	for _, list := range r.Header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); strings.HasPrefix(name, systemPrefix) || name == callers.HeaderIdempotencyKey {
+				return bad("connection_header", "header "+name+" does not belong to one connection")
+			}
+		}
+	}
+	if strings.Contains(r.URL.Path, "/..") {
+		for _, segment := range strings.Split(r.URL.Path, "/") {
+			if segment == ".." {
+				return bad("path", "the path has the segment \"..\"")
+			}
+		}
+	}
+	return nil
+}
+
+// systemPrefix begins the names of the system's own header fields.
+const systemPrefix = "Azb-"
+
 func bad(reason, detail string) *callers.Problem {
 	return &callers.Problem{Status: http.StatusBadRequest, Outcome: callers.OutcomeNotRun, Reason: reason, Detail: detail}
 }
