--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -127,16 +127,14 @@
 			continue
 		}
 		score := entryScore(in, caller)
-		k := n
-		for k > 0 && best[k-1] < score {
-			k--
-		}
-		if k == MaxEntries {
+		if n == MaxEntries && score <= best[n-1] {
 			continue
 		}
 		n = min(n+1, MaxEntries)
-		copy(best[k+1:n], best[k:n-1])
-		copy(at[k+1:n], at[k:n-1])
+		k := n - 1
+		for ; k > 0 && best[k-1] < score; k-- {
+			best[k], at[k] = best[k-1], at[k-1]
+		}
 		best[k], at[k] = score, i
 	}
 	return append(dst, at[:n]...)
