--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -45,7 +45,7 @@
 	var loop *control.Loop
 	fl, err := fleet.New(fleet.Options{
 		Identity: id, Listen: cfg.Fleetwork.String(), Log: log.Named("fleet"),
-		Delay:   trialDelay(cfg, func() *state.Snapshot {
+		Delay: trialDelay(cfg, func() *state.Snapshot {
 			if loop == nil { // a message of the first Ready, within NewLoop
 				return &state.Snapshot{}
 			}
