--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -25,9 +25,8 @@
 	"azurebridge/transport/platform"
 )
 
-// lookupGrace is how long a stopping instance still accepts new requests: until the look-ups that callers cache name
-// it no more.
-const lookupGrace = 6 * time.Second
+// reportLinger is how long the control goroutine runs on after the last request, to send its outcome and its release.
+const reportLinger = 500 * time.Millisecond
 
 // outcomeGrace is how long a stopping instance waits for the record of the last submissions' outcomes.
 const outcomeGrace = 3 * time.Second
@@ -51,6 +50,12 @@
 	var loop *control.Loop
 	fl, err := fleet.New(fleet.Options{
 		Identity: id, Listen: cfg.Fleetwork.String(), Log: log.Named("fleet"),
+		Delay: trialDelay(cfg, func() *state.Snapshot {
+			if loop == nil { // a message of the first Ready, within NewLoop
+				return &state.Snapshot{}
+			}
+			return loop.Snapshot()
+		}),
 		Resolve: func(n state.InstanceName) (string, bool) { return loop.Snapshot().FleetAddress(n) },
 	})
 	if err != nil {
@@ -83,17 +88,17 @@
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
 	go rec.Run(ctx)
-	backends := backend.New(nil)
+	backends := backend.New(backend.DialFrom(cfg.Callers.Addr()))
 	ed := edge.New(edge.Options{Control: loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge"), Observe: rec})
 	ops.Observe(operators.Observed{Recorder: rec, Metrics: observe.Registry(map[string]any{
 		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "observe": &rec.Stats,
 		"control.dropped": &loop.Dropped,
 	})})
-	return serve(ctx, cfg, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
+	return serve(ctx, cfg, ed, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
 }
 
 // serve runs the HTTP servers until a signal, then stops without cutting requests in flight.
-func serve(ctx context.Context, cfg *settings.Entry, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, log hclog.Logger) error {
+func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, log hclog.Logger) error {
 	callersLn, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -117,30 +122,24 @@
 				writeDump(ctx, ops, log)
 				continue
 			}
-			return stop(cfg, callers, loop, log)
+			return stop(ctx, cfg, ed, callers, loop, log)
 		}
 	}
 }
 
-func stop(cfg *settings.Entry, callers *http.Server, loop *control.Loop, log hclog.Logger) error {
+func stop(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers *http.Server, loop *control.Loop, log hclog.Logger) error {
 	log.Info("planned stop begins")
 	if err := loop.Offer(control.Stopping{}); err != nil {
 		log.Warn("planned stop not announced", "error", err)
 	}
-	time.Sleep(lookupGrace)
-	ctx := context.Background()
-	if cfg.StopGrace > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, cfg.StopGrace)
-		defer cancel()
-	}
-	err := callers.Shutdown(ctx)
+	err := ed.Stop(ctx, callers, cfg.StopGrace)
 	flush, cancel := context.WithTimeout(context.Background(), outcomeGrace)
 	defer cancel()
 	if left := loop.AwaitReports(flush); left != nil {
 		log.Warn("outcomes of submissions not recorded", "error", left)
 	}
-	return errors.Wrap(err, "planned stop")
+	time.Sleep(reportLinger)
+	return err
 }
 
 func writeDump(ctx context.Context, ops *operators.Manager, log hclog.Logger) {
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -65,7 +66,7 @@
 // New returns a client that opens connections with dial, or directly when dial is nil.
 func New(dial Dialer) *Client {
 	if dial == nil {
-		dial = Dial
+		dial = DialFrom(netip.Addr{})
 	}
 	base := http.Transport{
 		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
@@ -77,8 +78,9 @@
 	return &Client{pooled: base.Clone(), single: single}
 }
 
-// Dial opens a TCP connection that finds out within UnackedTimeout when the other end is gone.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+// DialFrom returns a Dialer whose connections have the local address ip, so that backend servers can tell entry instances
+// apart. A connection finds out within UnackedTimeout when the other end is gone.
+func DialFrom(ip netip.Addr) Dialer {
 	d := net.Dialer{
 		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -95,7 +97,10 @@
 			return optErr
 		},
 	}
-	return d.DialContext(ctx, network, address)
+	if ip.IsValid() && !ip.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+	}
+	return d.DialContext
 }
 
 // Call is one request to one backend server.
@@ -106,16 +111,35 @@
 	// Once forbids anything that could run the request twice. It uses a fresh connection, because a pooled one may
 	// have gone silent, which would leave the outcome unknown.
 	Once bool
+	// Cancel cancels the context that is passed to Do. The caller of Do calls it after the answer; Do calls it with
+	// ErrFirstByte. When it is nil, Do makes a context of its own, which ends when the body is closed.
+	Cancel context.CancelCauseFunc
 }
 
 // Do sends the request. With an error, the proof says whether it may have run. An answer that says that the request
 // was refused before running comes with ProofRefused and no error. The caller closes the response body.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, Proof, error) {
 	c.Counters.Requests.Add(1)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	if call.Cancel != nil {
+		return c.do(ctx, call)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	req := call.Request.WithContext(ctx)
+	call.Cancel = cancel
+	resp, proof, err := c.do(ctx, call)
+	if resp == nil {
+		cancel(nil)
+		return nil, proof, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, cancel: cancel}
+	return resp, proof, err
+}
+
+func (c *Client) do(ctx context.Context, call Call) (*http.Response, Proof, error) {
+	cancel := call.Cancel
+	var connected atomic.Bool
+	req := call.Request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	req.URL.Scheme, req.URL.Host = "http", call.Server.Address.String()
 	transport := c.pooled
 	if call.Once {
@@ -133,7 +157,11 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		cancel(nil)
+		if errors.Is(err, ErrFirstByte) {
+			// What silenced this connection may have silenced the unused ones too. Closing those to other servers as
+			// well costs about 1 ms each.
+			c.CloseIdle()
+		}
 		if connected.Load() {
 			c.Counters.NoProof.Add(1)
 			return nil, ProofNone, errors.Wrapf(err, "request to backend server %s", call.Server.Name)
@@ -141,7 +169,6 @@
 		c.Counters.NotSent.Add(1)
 		return nil, ProofNotSent, errors.Wrapf(err, "connect to backend server %s", call.Server.Name)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, cancel: cancel}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callers.HeaderNotRun) != "" {
 		c.Counters.Refused.Add(1)
 		return resp, ProofRefused, nil
--- a/transport/edge/carry.go
+++ b/transport/edge/carry.go
@@ -23,47 +23,48 @@
 
 // attempt is one try of a request at one backend server.
 type attempt struct {
-	answer admission.Answer
-	server *state.BackendServer
-	start  time.Time
+	ask      admission.Ask // with its targets, in one allocation
+	targets  [steering.MaxTargets]admission.Target
+	answer   admission.Answer
+	server   *state.BackendServer
+	start    time.Time
+	latency  time.Duration // to the response header
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	ticket   *ticket
+	idle     *time.Timer // ends an idle read of the body
+	deadline *time.Timer // ends the attempt at the deadline of the request
+	resp     *http.Response
+	proof    backend.Proof
+	err      error
 }
 
 // carry runs a request: it gets a grant, sends the request, and passes the answer on. It tries another backend server
 // only when it is proved that the request has not run, or when running it twice is harmless.
 func (m *Manager) carry(w http.ResponseWriter, rq *request) {
-	ctx, cancel := context.WithCancelCause(rq.http.Context())
-	defer cancel(nil)
 	if rq.deadline > 0 {
-		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, rq.deadline)
-		defer stop()
+		rq.expires = time.Now().Add(rq.deadline)
+	}
+	if rq.http.ContentLength != 0 {
+		rq.http.Body = http.MaxBytesReader(rq.seen.Unwrap(), rq.http.Body, m.opts.MaxBody)
 	}
-	rq.http.Body = http.MaxBytesReader(rq.seen.Unwrap(), rq.http.Body, m.opts.MaxBody)
 	var exclude []state.BackendName
 	for n := 0; n < MaxAttempts; n++ {
 		if n > 0 {
 			m.Stats.Retries.Add(1)
 		}
-		t := newTicket(cancel)
-		at, refusal, err := m.admit(ctx, t, rq, exclude)
+		at, refusal, err := m.open(rq, exclude)
 		if err != nil || refusal != message.RefusedNone {
 			m.refuse(w, refusal, at.answer.After, err)
 			return
 		}
-		resp, proof, err := m.send(ctx, rq, at)
-		if proof == backend.ProofAnswered {
-			m.pass(w, rq, at, resp)
+		if at.proof == backend.ProofAnswered {
+			m.pass(w, rq, at)
 			return
 		}
-		m.release(at, resultOf(proof, err))
-		if resp != nil {
-			_ = resp.Body.Close()
-		}
-		if t.fenced.Load() {
-			m.Stats.Fenced.Add(1)
-		}
-		if !mayRetry(rq, proof) || ctx.Err() != nil {
-			m.fail(w, rq, at, proof, err)
+		m.discard(at)
+		if !mayRetry(rq, at.proof) || rq.ended() {
+			m.fail(w, rq, at, at.proof, at.err)
 			return
 		}
 		exclude = append(exclude, at.server.Name)
@@ -71,6 +72,57 @@
 	m.refuse(w, message.RefusedNoBackend, time.Second, nil)
 }
 
+// open gets a grant and sends the request under it. The attempt ends with finish or discard unless there is a refusal or
+// an error.
+func (m *Manager) open(rq *request, exclude []state.BackendName) (*attempt, message.Refusal, error) {
+	ctx, cancel := context.WithCancelCause(rq.http.Context())
+	// A timer of its own ends the attempt at the deadline; a second context for that would cost more.
+	var deadline *time.Timer
+	if !rq.expires.IsZero() {
+		deadline = time.AfterFunc(time.Until(rq.expires), func() { cancel(context.DeadlineExceeded) })
+	}
+	t := newTicket(cancel)
+	at, refusal, err := m.admit(ctx, t, rq, exclude)
+	if err != nil || refusal != message.RefusedNone {
+		if deadline != nil {
+			deadline.Stop()
+		}
+		cancel(nil)
+		return at, refusal, err
+	}
+	at.ctx, at.cancel, at.ticket, at.deadline = ctx, cancel, t, deadline
+	at.resp, at.proof, at.err = m.send(ctx, rq, at)
+	at.latency = time.Since(at.start)
+	if at.proof == backend.ProofAnswered {
+		if err := checkFraming(&rq.out, at.resp); err != nil {
+			m.Stats.BadAnswers.Add(1)
+			at.proof, at.err = backend.ProofNone, err
+		}
+	}
+	return at, message.RefusedNone, nil
+}
+
+// finish ends an attempt and gives its grant back.
+func (m *Manager) finish(at *attempt, r message.Result) {
+	if at.idle != nil {
+		at.idle.Stop()
+	}
+	if at.deadline != nil {
+		at.deadline.Stop()
+	}
+	if at.resp != nil {
+		_ = at.resp.Body.Close()
+	}
+	at.cancel(nil)
+	if at.ticket.fenced.Load() {
+		m.Stats.Fenced.Add(1)
+	}
+	m.release(at, r)
+}
+
+// discard ends an attempt that gave no answer to pass on.
+func (m *Manager) discard(at *attempt) { m.finish(at, resultOf(at.proof, at.err)) }
+
 // mayRetry reports whether the request may be sent to another backend server.
 func mayRetry(rq *request, proof backend.Proof) bool {
 	if rq.http.ContentLength != 0 && proof != backend.ProofNotSent {
@@ -83,7 +135,7 @@
 	switch {
 	case proof == backend.ProofRefused:
 		return message.ResultShed
-	case errors.Is(err, backend.ErrFirstByte):
+	case errors.Is(err, backend.ErrFirstByte), errors.Is(err, errBodyIdle):
 		return message.ResultTimeout
 	default:
 		return message.ResultFailed
@@ -94,12 +146,12 @@
 func (m *Manager) admit(ctx context.Context, t *ticket, rq *request, exclude []state.BackendName) (*attempt, message.Refusal, error) {
 	at := &attempt{}
 	s := rq.snapshot
-	targets, refusal := steering.Regions(s, rq.customer, rq.service.Name, nil)
+	targets, refusal := steering.Regions(s, rq.customer, rq.service.Name, at.targets[:0])
 	if refusal != message.RefusedNone {
 		return at, refusal, nil
 	}
-	ask := &admission.Ask{Service: rq.service.Name, Customer: rq.customer, Regions: targets, Wait: rq.service.QueueTimeout, Exclude: exclude}
-	if err := m.opts.Control.Offer(control.Admit{Ask: ask, Asker: t}); err != nil {
+	at.ask = admission.Ask{Service: rq.service.Name, Customer: rq.customer, Regions: targets, Wait: rq.wait, Exclude: exclude}
+	if err := m.opts.Control.Offer(control.Admit{Ask: &at.ask, Asker: t}); err != nil {
 		return at, message.RefusedBusy, nil
 	}
 	answer, ok := t.wait(ctx)
@@ -121,15 +173,17 @@
 }
 
 func (m *Manager) release(at *attempt, r message.Result) {
-	m.opts.Control.Release(at.answer.Region, message.Release{
-		ID: at.answer.ID, Backend: at.answer.Backend, Result: r, Latency: time.Since(at.start),
-	})
+	latency := at.latency
+	if latency == 0 {
+		latency = time.Since(at.start)
+	}
+	m.opts.Control.Release(at.answer.Region, message.Release{ID: at.answer.ID, Backend: at.answer.Backend, Result: r, Latency: latency})
 }
 
 // send sends the request to the backend server of the grant.
 func (m *Manager) send(ctx context.Context, rq *request, at *attempt) (*http.Response, backend.Proof, error) {
-	in := rq.http
-	out := &http.Request{
+	in, out := rq.http, &rq.out
+	*out = http.Request{
 		Method: in.Method, URL: &url.URL{Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
 		Header: make(http.Header, len(in.Header)+1), Host: in.Host, ContentLength: in.ContentLength,
 	}
@@ -146,43 +200,23 @@
 			out.Header.Set(callers.HeaderSubmissionKey, rq.key)
 		}
 	}
-	if d, ok := ctx.Deadline(); ok {
+	if rq.part != nil {
+		setPart(out.Header, rq.part)
+	}
+	d, ok := rq.expires, !rq.expires.IsZero()
+	if !ok {
+		d, ok = ctx.Deadline()
+	}
+	if ok {
 		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
-	resp, proof, err := m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once()})
+	resp, proof, err := m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once(), Cancel: at.cancel})
 	if proof != backend.ProofAnswered {
 		rq.seen.Refused(observe.ReasonBackend)
 	}
 	return resp, proof, err
 }
 
-// pass passes an answer on. When its body ends early, the caller's connection is aborted, so that a part is never
-// taken for the whole (invariant whole-answer).
-func (m *Manager) pass(w http.ResponseWriter, rq *request, at *attempt, resp *http.Response) {
-	defer resp.Body.Close()
-	latency := time.Since(at.start)
-	h := w.Header()
-	copyHeader(h, resp.Header)
-	h.Set(callers.HeaderOutcome, string(callers.OutcomeRan))
-	w.WriteHeader(resp.StatusCode)
-	buf := m.buffers.Get().(*[]byte)
-	n, readErr, writeErr := stream(w, resp.Body, *buf)
-	m.buffers.Put(buf)
-	m.Stats.BytesCarried.Add(uint64(n))
-	result := message.ResultOK
-	if readErr != nil || resp.StatusCode >= http.StatusInternalServerError {
-		result = message.ResultFailed
-	}
-	m.opts.Control.Release(at.answer.Region, message.Release{ID: at.answer.ID, Backend: at.answer.Backend, Result: result, Latency: latency})
-	switch {
-	case readErr != nil:
-		m.Stats.CutAnswers.Add(1)
-		panic(http.ErrAbortHandler)
-	case writeErr != nil:
-		m.Stats.CallerGone.Add(1)
-	}
-}
-
 // refuse answers a request that has not run.
 func (m *Manager) refuse(w http.ResponseWriter, why message.Refusal, after time.Duration, err error) {
 	m.Stats.Refused.Add(1)
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -20,6 +20,10 @@
 	key      string        // idempotency key; empty when absent
 	deadline time.Duration // 0 means no limit
 	seen     *observe.Request
+	expires  time.Time     // when the deadline ends; zero means no limit, or that the context holds it
+	wait     time.Duration // longest wait for a slot
+	part     *part         // asked for instead, when a body is resumed
+	out      http.Request  // as it was last sent to a backend server
 }
 
 // once reports whether the request must run at most once.
@@ -27,12 +31,15 @@
 	return rq.service.Kind == state.KindSubmission && rq.http.Method != http.MethodGet && rq.http.Method != http.MethodHead
 }
 
+// ended reports whether nobody waits for the answer any more.
+func (rq *request) ended() bool {
+	return rq.http.Context().Err() != nil || (!rq.expires.IsZero() && !time.Now().Before(rq.expires))
+}
+
 // parse checks a request. The problem is nil when it may be carried.
 func parse(s *state.Snapshot, r *http.Request, maxBody int64) (*request, *callers.Problem) {
-	for name := range r.Header {
-		if strings.HasPrefix(name, callers.HeaderInternalPrefix) || name == callers.HeaderNotRun {
-			return nil, bad("internal_header", "header "+name+" is reserved")
-		}
+	if p := checkShape(r); p != nil {
+		return nil, p
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	service := s.Index.Service[state.ServiceName(name)]
@@ -46,7 +53,7 @@
 	if r.ContentLength > maxBody {
 		return nil, &callers.Problem{Status: http.StatusRequestEntityTooLarge, Outcome: callers.OutcomeNotRun, Reason: "body_too_large", Detail: fmt.Sprintf("limit is %d bytes", maxBody)}
 	}
-	rq := &request{http: r, snapshot: s, service: service, customer: customer}
+	rq := &request{http: r, snapshot: s, service: service, customer: customer, wait: service.QueueTimeout}
 	if keys, ok := r.Header[callers.HeaderIdempotencyKey]; ok {
 		if len(keys) != 1 {
 			return nil, bad("idempotency_key", "more than one idempotency key")
@@ -56,6 +63,9 @@
 		}
 		rq.key = keys[0]
 	}
+	if len(r.Header[callers.HeaderDeadline]) > 1 {
+		return nil, bad("deadline", "more than one deadline")
+	}
 	deadline, err := callers.ParseDeadline(r.Header)
 	if err != nil {
 		return nil, bad("deadline", err.Error())
@@ -67,26 +77,64 @@
 	return rq, nil
 }
 
+// checkShape refuses what a backend server could read in another way than this instance: fields that only the system sets,
+// fields of the system that the caller declares to belong to one connection, and paths that lead out of their service.
+func checkShape(r *http.Request) *callers.Problem {
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return &callers.Problem{Status: http.StatusMethodNotAllowed, Outcome: callers.OutcomeNotRun, Reason: "method"}
+	}
+	for name := range r.Header {
+		if len(name) > 4 && name[:4] == systemPrefix &&
+			(strings.HasPrefix(name, callers.HeaderInternalPrefix) || name == callers.HeaderNotRun || name == callers.HeaderSubmissionKey) {
+			return bad("internal_header", "header "+name+" is reserved")
+		}
+	}
+	for _, list := range r.Header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); strings.HasPrefix(name, systemPrefix) || name == callers.HeaderIdempotencyKey {
+				return bad("connection_header", "header "+name+" does not belong to one connection")
+			}
+		}
+	}
+	if strings.Contains(r.URL.Path, "/..") {
+		for _, segment := range strings.Split(r.URL.Path, "/") {
+			if segment == ".." {
+				return bad("path", "the path has the segment \"..\"")
+			}
+		}
+	}
+	return nil
+}
+
+// systemPrefix begins the names of the system's own header fields.
+const systemPrefix = "Azb-"
+
 func bad(reason, detail string) *callers.Problem {
 	return &callers.Problem{Status: http.StatusBadRequest, Outcome: callers.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
-// hopByHop lists the header fields that belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopByHop reports whether a header field belongs to one connection (RFC 9110, section 7.6.1).
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
 }
 
-// copyHeader copies end-to-end header fields.
+// copyHeader copies end-to-end header fields. The values are shared, not copied.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = values
+		if !hopByHop(name) {
+			dst[name] = values
+		}
 	}
 	for _, list := range src["Connection"] {
 		for _, name := range strings.Split(list, ",") {
-			dst.Del(strings.TrimSpace(name))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !hopByHop(name) {
+				delete(dst, name)
+			}
 		}
 	}
-	for _, name := range hopByHop {
-		delete(dst, name)
-	}
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -41,8 +41,10 @@
 	Backends  *backend.Client
 	MaxBody   int64 // bytes of a request body
 	MaxHeader int   // bytes of a request header
-	Log       hclog.Logger
-	Observe   *observe.Recorder // nil for a recorder that nobody reads
+	// LookupWait is how long a stopping instance accepts new requests; 0 means DefaultLookupWait.
+	LookupWait time.Duration
+	Log        hclog.Logger
+	Observe    *observe.Recorder // nil for a recorder that nobody reads
 }
 
 // Stats counts requests of callers.
@@ -54,6 +56,10 @@
 	Unknown      atomic.Uint64 // answered "unknown"
 	Retries      atomic.Uint64
 	CutAnswers   atomic.Uint64 // answers aborted because the body ended early
+	BadAnswers   atomic.Uint64 // refused because their bytes or their end could be mistaken
+	Resumed      atomic.Uint64 // bodies continued at another backend server after an early end
+	Moved        atomic.Uint64 // bodies moved off a drained backend server
+	MoveFailed   atomic.Uint64 // attempts to move that left the body where it was
 	CallerGone   atomic.Uint64
 	Replayed     atomic.Uint64 // submissions answered from the record of an earlier attempt
 	Fenced       atomic.Uint64 // requests cancelled because their grant could not be renewed
@@ -63,9 +69,10 @@
 
 // Manager answers callers.
 type Manager struct {
-	opts    Options
-	buffers sync.Pool
-	Stats   Stats
+	opts     Options
+	buffers  sync.Pool
+	stopping atomic.Bool
+	Stats    Stats
 }
 
 // New returns a manager.
@@ -79,6 +86,9 @@
 	if opts.Observe == nil {
 		opts.Observe = observe.New(state.MonotonicClock(), opts.Control.Snapshot)
 	}
+	if opts.LookupWait == 0 {
+		opts.LookupWait = DefaultLookupWait
+	}
 	m := &Manager{opts: opts}
 	m.buffers.New = func() any { b := make([]byte, copyBuffer); return &b }
 	return m
@@ -97,8 +107,14 @@
 	}
 }
 
+// closing asks a caller to open no request on its connection again; for HTTP/2 net/http turns it into GOAWAY.
+var closing = []string{"close"}
+
 // ServeHTTP answers one request.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if m.stopping.Load() {
+		w.Header()["Connection"] = closing
+	}
 	if len(r.URL.Path) > len(callers.PathPrefix) && r.URL.Path[:len(callers.PathPrefix)] == callers.PathPrefix {
 		m.serveOwn(w, r)
 		return
