--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run bench model fuzz prove clean
+.PHONY: build test lint run bench docs model fuzz prove clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,6 +15,10 @@
 run: build
 	@DEPLOYMENT="$(DEPLOYMENT)" DURATION="$(DURATION)" scripts/run.sh
 
+# docs runs the curl examples of docs/callers.md.
+docs: build
+	scripts/check-docs.sh
+
 # model checks the specifications in model/ with spin (Debian's package spin).
 model:
 	scripts/model.sh
