rollout, fleet: offer to instances in turn less often, and close unused connections

Each instance offered its revision to two members of its region in turn and to another region each second, and kept each connection for a minute after its last use. At 74 instances a region that is a connection to every member and to most readers of other regions, each with a keep-alive every 300 ms. Lost messages are repaired by the offer to a reader of the own region, which stays at one a second. Offers in turn are now sent each 5 s, to other regions each 15 s by instances that are no readers, and an unused connection is closed after 5 s.

--- a/coordination/rollout/core.go
+++ b/coordination/rollout/core.go
@@ -22,6 +22,7 @@
 	rejected map[Digest]bool
 	started  bool // the instances to ask at the start are known and were asked
 	offerAt  state.Instant
+	turnAt   state.Instant
 	turn     int // counts the members of the own region that were offered to
 	random   *rand.Rand
 	out      []Outbound
@@ -182,20 +183,26 @@
 		c.askAround()
 		return
 	}
-	c.offerSome()
+	c.offerSome(now)
 }
 
-// offerSome offers the current revision on a few links, which repairs lost messages: to a reader of the own region, to
-// other members of it in turn, and to a reader of another region. The members include those that seem dead: one may have
-// restarted while the list of instances is not served, and then learns of its peers only through such an offer.
-func (c *Core) offerSome() {
+// offerSome offers the current revision on a few links, which repairs lost messages: each second to a reader of the own
+// region, and each TurnInterval to the next member of it. The members include those that seem dead: one may have restarted
+// while the list of instances is not served, and then learns of its peers only through such an offer. Readers also offer
+// to a reader of another region each second, the others only each FarTurns turns: most such offers need a new connection,
+// whose handshake costs both sides far more than the offer.
+func (c *Core) offerSome(now state.Instant) {
 	c.offerOne(c.members.readers(c.self.Region))
-	all := c.members.all
-	for range min(OffersInRegion, len(all)) {
+	far := c.Reader()
+	if all := c.members.all; now.Sub(c.turnAt) >= TurnInterval {
+		c.turnAt = now
 		c.turn++
-		c.introduce(all[c.turn%len(all)])
+		far = far || c.turn%FarTurns == 0
+		if len(all) > 0 {
+			c.introduce(all[c.turn%len(all)])
+		}
 	}
-	if n := len(c.members.regions); n > 1 {
+	if n := len(c.members.regions); far && n > 1 {
 		r := c.members.regions[c.random.IntN(n)]
 		if r != c.self.Region {
 			c.offerOne(c.members.readers(r))
--- a/coordination/rollout/item.go
+++ b/coordination/rollout/item.go
@@ -20,7 +20,8 @@
 	ReadersPerRegion = 2                      // instances of a region that watch the store
 	StartPeers       = 3                      // instances of each region that a starting instance asks
 	OfferInterval    = time.Second            // between periodic offers
-	OffersInRegion   = 2                      // periodic offers to members of the own region in turn
+	TurnInterval     = 5 * time.Second        // between offers to the members of the own region in turn
+	FarTurns         = 3                      // turns between offers of an instance that is no reader to another region
 	PullTimeout      = 400 * time.Millisecond // without a new part, after which the parts are asked for again
 	MaxPullTries     = 5                      // without a new part, after which a transfer is given up
 	MaxSources       = 4                      // instances known to offer the revision being received
--- a/transport/fleet/fleet.go
+++ b/transport/fleet/fleet.go
@@ -34,7 +34,7 @@
 	IdleTimeout      = time.Second            // after which a silent connection is dropped
 	HandshakeTimeout = time.Second
 	RedialDelay      = 200 * time.Millisecond // after a failed connection attempt
-	PeerIdleTimeout  = time.Minute            // after which the goroutine of an unused peer ends
+	PeerIdleTimeout  = 5 * time.Second        // after which an unused connection is closed: its keep-alives cost more than a new one
 	lengthPrefix     = 4                      // bytes
 )
 
