control: pass on the load of other regions with the home's own report

A home passed each report of another region on to each of its members in a message of its own: half of a home's messages with 3 regions, and 2,900 a second with 38 regions of 74 members.

--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -75,6 +75,7 @@
 	epoch    message.Epoch   // of home
 	holder   *admission.Holder
 	beats    beats
+	relays   relays // used as home
 	rollout  configState
 	claims   claimCores
 	leaving  bool
@@ -97,7 +98,7 @@
 	c.index = state.NewIndex(c.config)
 	c.table = membership.New(0, self)
 	c.election = homelease.NewElection(0, self)
-	c.beats = newBeats()
+	c.beats, c.relays = newBeats(), newRelays()
 	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.initClaims()
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -31,6 +31,7 @@
 	c.home = admission.NewHome(c.self.Region, epoch)
 	c.home.ApplyConfig(c.config, c.index)
 	c.table.Judge(now, true, previous)
+	c.relays = newRelays() // members may have missed what an earlier home passed on
 	c.beats.statusAt, c.beats.remoteAt = now.Add(-time.Hour), now.Add(-time.Hour)
 }
 
@@ -107,7 +108,8 @@
 	return h.Home, h.Epoch
 }
 
-// reportStatus sends the load of the region to its members and to the homes of other regions, which pass it on.
+// reportStatus sends the load of the region to its members, with that of other regions that is due, and to the homes of
+// other regions, which pass it on.
 func (c *Core) reportStatus(now state.Instant) {
 	if now.Sub(c.beats.statusAt) < StatusInterval {
 		return
@@ -115,7 +117,9 @@
 	c.beats.statusAt = now
 	st := c.home.Status()
 	st.Home = c.self.Name
-	c.toMembers(st)
+	toMembers := *st
+	toMembers.Others = c.relays.take()
+	c.toMembers(&toMembers)
 	if now.Sub(c.beats.remoteAt) < time.Duration(len(c.homes))*remoteStatusStep {
 		return
 	}
@@ -136,16 +140,27 @@
 	}
 }
 
-// regionStatus takes over the load of a region.
+// regionStatus takes over the load of a region, and what its home passes on of others.
 func (c *Core) regionStatus(now state.Instant, from state.InstanceName, m *message.RegionStatus) {
 	c.claim(now, message.HomeClaim{Region: m.Region, Epoch: m.Epoch, Home: m.Home})
 	if m.Home == from {
 		c.homeHeard(now, m.Region, from, m.Epoch)
 		if c.home != nil && m.Region != c.self.Region && c.homes[m.Region].Home == from {
-			c.toMembers(m)
-			return // this instance receives it as a member, too
+			c.relays.offer(now, m)
 		}
 	}
+	c.takeLoad(now, m)
+	if m.Home == from && m.Region == c.self.Region {
+		for i := range m.Others {
+			o := &m.Others[i]
+			c.claim(now, message.HomeClaim{Region: o.Region, Epoch: o.Epoch, Home: o.Home})
+			c.takeLoad(now, o)
+		}
+	}
+}
+
+// takeLoad takes over the load of a region unless it is that of an earlier home.
+func (c *Core) takeLoad(now state.Instant, m *message.RegionStatus) {
 	if uint64(m.Epoch) < c.loads[m.Region].Epoch || len(c.loads) >= MaxRegions && c.loads[m.Region].Region == "" {
 		return
 	}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -193,11 +193,12 @@
 // RegionStatus reports the load of a region from its home.
 type RegionStatus struct {
 	Region     state.RegionName
-	Home       state.InstanceName // that measured it; another home passes it on to its members
+	Home       state.InstanceName // that measured it; another home passes it on to its members in Others
 	Epoch      Epoch
 	Running    int
 	MaxRunning int
 	Services   []state.ServiceLoad
+	Others     []RegionStatus // of other regions, passed on by the home to its members
 }
 
 // ClaimKey is the hash of customer, service and idempotency key.
