control, homelease, membership: less work of homes, and of the loss of a home

A home sent its load to each member four times a second, which is also the sign that it lives. Only the first candidates need it that often: the next one stands for election after 1.2 s of silence, so the others now get it each 500 ms. A region without home made each member read the record of its witnesses once a second, a store rate that grows with the fleet; candidate number r now reads each 1+r seconds, at most 32. A change of one instance sorted the whole table and ranked all instances for the rollout, even when only an incarnation was new; the order is now kept while the names are the same, and the ranking while names, regions and statuses are.

--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -95,12 +95,27 @@
 func (c *Core) tickConfig(now state.Instant) {
 	s := &c.rollout
 	if list := c.table.Instances(); !sameList(s.ranked, list) {
+		if !sameMembers(s.ranked, list) {
+			s.core.Members(now, list)
+		}
 		s.ranked = list
-		s.core.Members(now, list)
 	}
 	s.core.Tick(now)
 }
 
+// sameMembers reports whether two lists give the same ranking: a new incarnation or address does not change it.
+func sameMembers(a, b []state.Instance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Region != b[i].Region || a[i].Status != b[i].Status {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) deliverConfig(now state.Instant, from state.InstanceName, b message.Body) {
 	switch m := b.(type) {
 	case *message.ConfigOffer:
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -13,6 +13,10 @@
 // regions sends them about once a second.
 const remoteStatusStep = 25 * time.Millisecond
 
+// firstCandidates hear their home at each StatusInterval, since they stand for election soon after its last sign. The
+// other members, of which the next waits 1.2 s (homelease.HomeSilence and 4 times Stagger), hear it at each second one.
+const firstCandidates = 5 // with the home itself
+
 // followLease keeps admission in step with the lease: a home grants only while its lease is valid. It runs before each
 // event and before messages are handed out, so that no grant leaves after the lease has ended.
 func (c *Core) followLease(now state.Instant) {
@@ -117,9 +121,18 @@
 	c.beats.statusAt = now
 	st := c.home.Status()
 	st.Home = c.self.Name
-	toMembers := *st
-	toMembers.Others = c.relays.take()
-	c.toMembers(&toMembers)
+	c.beats.rounds++
+	first := c.candidates(c.self.Region, false)
+	first = first[:min(len(first), firstCandidates)]
+	if c.beats.rounds%2 == 0 {
+		toMembers := *st
+		toMembers.Others = c.relays.take()
+		c.toMembers(&toMembers)
+	} else {
+		for _, n := range first {
+			c.post([]admission.Outbound{{To: n, Body: st}})
+		}
+	}
 	if now.Sub(c.beats.remoteAt) < time.Duration(len(c.homes))*remoteStatusStep {
 		return
 	}
--- a/coordination/control/members.go
+++ b/coordination/control/members.go
@@ -28,6 +28,7 @@
 	seq      uint64
 	at       state.Instant // last round of heartbeats
 	statusAt state.Instant
+	rounds   uint64 // of load reports to members
 	remoteAt state.Instant
 	agedAt   state.Instant
 	pushed   uint64                        // version of the table that was pushed as home
--- a/coordination/control/pace.go
+++ b/coordination/control/pace.go
@@ -15,7 +15,7 @@
 	memberTick   = 100 * time.Millisecond // of an idle member
 	minTick      = 5 * time.Millisecond   // before a heartbeat is due
 	activeFor    = 5 * time.Second        // after the last request; longer than grants, claims and queues wait
-	homeDoubt    = 400 * time.Millisecond // of silence of the home, before the first candidate may try
+	homeDoubt    = 550 * time.Millisecond // of silence of the home, shortly before the first candidate may try
 )
 
 // NextTick returns how long after now Tick must run at the latest.
--- a/coordination/homelease/election.go
+++ b/coordination/homelease/election.go
@@ -10,6 +10,7 @@
 // Time bounds of store operations.
 const (
 	ReadInterval = time.Second            // between reads of one record
+	maxReadRank  = 31                     // rank from which on candidates read equally seldom
 	staleRead    = 200 * time.Millisecond // between reads while a newer record is known to exist
 	opTimeout    = 5 * time.Second        // after which an operation without a result counts as lost
 )
@@ -79,7 +80,7 @@
 	rank := e.rank(now, v.Instances)
 	e.Candidate.Tick(now, rank, !leaving)
 	e.change(now, rank, v) // first, since a region without a home is read again and again
-	e.read(now)
+	e.read(now, rank)
 }
 
 // rank counts the live candidates of the region before this instance.
@@ -97,14 +98,17 @@
 }
 
 // read reads the records that this instance must know: of its region, and of each region that asked it for a promise.
-func (e *Election) read(now state.Instant) {
+func (e *Election) read(now state.Instant, rank int) {
 	own := e.self.Region
 	_, stale := e.Candidate.Record()
 	switch {
 	case stale:
 		e.issue(now, staleRead, Op{Region: own})
-	case e.Witness.NeedsRecord(own) || e.Candidate.HomelessFor(now) >= ReadInterval:
+	case e.Witness.NeedsRecord(own):
 		e.issue(now, ReadInterval, Op{Region: own})
+	case e.Candidate.HomelessFor(now) >= ReadInterval:
+		// Later candidates read less often, so that the reads of a region without home grow with the logarithm of its size.
+		e.issue(now, ReadInterval*time.Duration(1+min(rank, maxReadRank)), Op{Region: own})
 	}
 	e.Witness.Regions(func(r state.RegionName) {
 		if r != own && e.Witness.NeedsRecord(r) {
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -68,8 +68,9 @@
 	version  uint64
 	judge    bool // this instance is home: it judges its region by direct evidence
 	complete bool
-	changed  bool // sorted must be made again
-	news     bool // sorted was made again since TakeNews
+	changed  bool     // sorted must be made again
+	news     bool     // sorted was made again since TakeNews
+	order    []*entry // by name; nil after an instance was added or removed
 	sorted   []state.Instance
 	Stats    Stats
 }
@@ -113,7 +114,7 @@
 		// Silence counts from now on. Other instances learn of it from the list, too.
 		e = &entry{instance: in, heardAt: now, since: now, unlistedAt: now, evidence: EvidenceList}
 		t.entries[in.Name] = e
-		t.changed = true
+		t.changed, t.order = true, nil
 		if _, ok := t.regions[in.Region]; !ok {
 			t.regions[in.Region] = now // the silence of its home counts from now on
 		}
@@ -220,7 +221,7 @@
 			now.Sub(max(e.heardAt, e.toldAt)) >= ForgetAfter {
 			delete(t.entries, name)
 			t.Stats.Forgotten++
-			t.changed = true
+			t.changed, t.order = true, nil
 		}
 	}
 }
@@ -284,15 +285,26 @@
 	if t.sorted == nil || t.changed {
 		t.news = true
 		t.sorted = make([]state.Instance, 0, len(t.entries))
-		for _, e := range t.entries {
+		for _, e := range t.byName() {
 			t.sorted = append(t.sorted, e.instance)
 		}
-		sort.Slice(t.sorted, func(i, j int) bool { return t.sorted[i].Name < t.sorted[j].Name })
 		t.changed = false
 	}
 	return t.sorted
 }
 
+// byName returns all entries in the order of their names.
+func (t *Table) byName() []*entry {
+	if t.order == nil {
+		t.order = make([]*entry, 0, len(t.entries))
+		for _, e := range t.entries {
+			t.order = append(t.order, e)
+		}
+		sort.Slice(t.order, func(i, j int) bool { return t.order[i].instance.Name < t.order[j].instance.Name })
+	}
+	return t.order
+}
+
 // TakeNews reports whether Instances has changed since the last call.
 func (t *Table) TakeNews() bool {
 	news := t.news || t.changed
