--- a/transport/fleet/fleet.go
+++ b/transport/fleet/fleet.go
@@ -35,6 +35,7 @@
 	HandshakeTimeout = time.Second
 	RedialDelay      = 200 * time.Millisecond // after a failed connection attempt
 	PeerIdleTimeout  = 5 * time.Second        // after which an unused connection is closed: its keep-alives cost more than a new one
+	connBuffer       = 4 << 10                // bytes of each connection's buffer; larger frames pass by it
 	lengthPrefix     = 4                      // bytes
 )
 
@@ -114,9 +115,9 @@
 
 // read passes on the frames of one stream. A malformed frame ends the connection, since the stream is then out of step.
 func (m *Manager) read(conn *quic.Conn, s *quic.ReceiveStream) {
-	r := bufio.NewReaderSize(s, wire.MaxFrame)
+	r := bufio.NewReaderSize(s, connBuffer)
 	var size [lengthPrefix]byte
-	buf := make([]byte, 0, 4096)
+	buf := make([]byte, 0, connBuffer)
 	for {
 		if _, err := io.ReadFull(r, size[:]); err != nil {
 			return
@@ -126,14 +127,15 @@
 			m.refuse(conn, errors.Wrapf(wire.ErrFrame, "frame of %d bytes", n))
 			return
 		}
+		frame := buf
 		if cap(buf) < int(n) {
-			buf = make([]byte, n)
+			frame = make([]byte, n) // rare; not kept, so that an idle connection holds little memory
 		}
-		buf = buf[:n]
-		if _, err := io.ReadFull(r, buf); err != nil {
+		frame = frame[:n]
+		if _, err := io.ReadFull(r, frame); err != nil {
 			return
 		}
-		e, err := wire.Decode(buf)
+		e, err := wire.Decode(frame)
 		if err != nil {
 			m.refuse(conn, err)
 			return
--- a/transport/fleet/peer.go
+++ b/transport/fleet/peer.go
@@ -125,7 +125,7 @@
 		_ = conn.CloseWithError(0, "")
 		return errors.Wrapf(err, "open stream to instance %s", p.name)
 	}
-	p.conn, p.writer, p.address = conn, bufio.NewWriterSize(s, wire.MaxFrame), address
+	p.conn, p.writer, p.address = conn, bufio.NewWriterSize(s, connBuffer), address
 	return nil
 }
 
