--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -80,11 +80,15 @@
 	handed    []*message.GrantHandover // from a home that resigned, until this instance is its successor
 	holder    *admission.Holder
 	beats     beats
+	relays    relays // used as home
+	live      state.LiveIndex
+	liveOf    []state.Instance // the list that live was made from
 	rollout   configState
 	claims    claimCores
 	reporting *reporting.Core
 	leaving   bool
 	changed   bool
+	activeAt  state.Instant        // last event or message of requests and submissions
 	local     []admission.Outbound // messages to this instance itself, handled before Ready returns
 	ready     Ready
 	opID      uint64
@@ -102,7 +106,7 @@
 	c.index = state.NewIndex(c.config)
 	c.table = membership.New(0, self)
 	c.election = homelease.NewElection(0, self)
-	c.beats = newBeats()
+	c.beats, c.relays = newBeats(), newRelays()
 	c.rollout = newConfigState(self)
 	c.holder = admission.NewHolder(self, c.homeOf)
 	c.initClaims()
@@ -117,6 +121,7 @@
 	c.followLease(now)
 	switch ev := ev.(type) {
 	case Admit:
+		c.activeAt = now
 		c.holder.Ask(now, ev.Ask, ev.Asker)
 	case Received:
 		c.receive(now, ev.Envelope)
@@ -135,6 +140,7 @@
 	case Inspect:
 		ev.Done(c.dump(now))
 	default:
+		c.activeAt = now
 		c.stepClaims(now, ev)
 	}
 }
@@ -218,6 +224,9 @@
 		return
 	}
 	c.table.Heard(now, e.From, e.Incarnation)
+	if traffic(e.Body) {
+		c.activeAt = now
+	}
 	c.deliver(now, e.From, e.Incarnation, e.Body)
 }
 
@@ -265,7 +274,10 @@
 	for k, v := range c.loads {
 		loads[k] = v
 	}
+	if c.live == nil || !sameList(c.liveOf, instances) {
+		c.live, c.liveOf = state.NewLiveIndex(instances, c.live), instances
+	}
 	return &state.Snapshot{
-		Self: c.self, Config: c.config, Index: c.index, Instances: instances, Loads: loads, Leaving: c.leaving,
+		Self: c.self, Config: c.config, Index: c.index, Instances: instances, Live: c.live, Loads: loads, Leaving: c.leaving,
 	}
 }
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -13,6 +13,10 @@
 // regions sends them about once a second.
 const remoteStatusStep = 25 * time.Millisecond
 
+// firstCandidates hear their home at each StatusInterval, since they stand for election soon after its last sign. The
+// other members, of which the next waits 1.2 s (homelease.HomeSilence and 4 times Stagger), hear it at each second one.
+const firstCandidates = 5 // with the home itself
+
 // followLease keeps admission in step with the lease: a home grants only while its lease is valid. It runs before each
 // event and before messages are handed out, so that no grant leaves after the lease has ended.
 func (c *Core) followLease(now state.Instant) {
@@ -41,6 +45,7 @@
 	}
 	c.handed = nil
 	c.table.Judge(now, true, previous)
+	c.relays = newRelays() // members may have missed what an earlier home passed on
 	c.beats.statusAt, c.beats.remoteAt = now.Add(-time.Hour), now.Add(-time.Hour)
 }
 
@@ -134,7 +139,8 @@
 	return h.Home, h.Epoch
 }
 
-// reportStatus sends the load of the region to its members and to the homes of other regions, which pass it on.
+// reportStatus sends the load of the region to its members, with that of other regions that is due, and to the homes of
+// other regions, which pass it on.
 func (c *Core) reportStatus(now state.Instant) {
 	if now.Sub(c.beats.statusAt) < StatusInterval {
 		return
@@ -142,7 +148,18 @@
 	c.beats.statusAt = now
 	st := c.home.Summary()
 	st.Home = c.self.Name
-	c.toMembers(st)
+	c.beats.rounds++
+	first := c.candidates(c.self.Region, false)
+	first = first[:min(len(first), firstCandidates)]
+	if c.beats.rounds%2 == 0 {
+		toMembers := *st
+		toMembers.Others = c.relays.take()
+		c.toMembers(&toMembers)
+	} else {
+		for _, n := range first {
+			c.post([]admission.Outbound{{To: n, Body: st}})
+		}
+	}
 	if now.Sub(c.beats.remoteAt) < time.Duration(len(c.homes))*remoteStatusStep {
 		return
 	}
@@ -163,16 +180,27 @@
 	}
 }
 
-// regionStatus takes over the load of a region.
+// regionStatus takes over the load of a region, and what its home passes on of others.
 func (c *Core) regionStatus(now state.Instant, from state.InstanceName, m *message.RegionStatus) {
 	c.claim(now, message.HomeClaim{Region: m.Region, Epoch: m.Epoch, Home: m.Home})
 	if m.Home == from {
 		c.homeHeard(now, m.Region, from, m.Epoch)
 		if c.home != nil && m.Region != c.self.Region && c.homes[m.Region].Home == from {
-			c.toMembers(m)
-			return // this instance receives it as a member, too
+			c.relays.offer(now, m)
+		}
+	}
+	c.takeLoad(now, m)
+	if m.Home == from && m.Region == c.self.Region {
+		for i := range m.Others {
+			o := &m.Others[i]
+			c.claim(now, message.HomeClaim{Region: o.Region, Epoch: o.Epoch, Home: o.Home})
+			c.takeLoad(now, o)
 		}
 	}
+}
+
+// takeLoad takes over the load of a region unless it is that of an earlier home.
+func (c *Core) takeLoad(now state.Instant, m *message.RegionStatus) {
 	if uint64(m.Epoch) < c.loads[m.Region].Epoch || len(c.loads) >= MaxRegions && c.loads[m.Region].Region == "" {
 		return
 	}
@@ -193,3 +221,6 @@
 		c.election.Candidate.HomeAlive(now, from, epoch)
 	}
 }
+
+// IsHome reports whether this instance is home of its region.
+func (c *Core) IsHome() bool { return c.home != nil }
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -99,51 +99,27 @@
 const LookupTTL = 5 * time.Second
 
 // MaxEntries bounds the entry instances that one look-up names.
-const MaxEntries = 3
+const MaxEntries = state.LookupEntries
 
 // Entries appends to dst the indexes into s.Instances of the entry instances that a caller of the region should use,
 // best first. Instances of the caller's region come first; within a region callers spread by rendezvous hashing, so that
 // a change of the fleet moves only the callers of the instance that changed.
 func Entries(s *state.Snapshot, region state.RegionName, caller uint64, dst []int) []int {
-	start := len(dst)
-	dst = bestOf(s, region, caller, true, dst)
-	if rest := MaxEntries - (len(dst) - start); rest > 0 {
-		// Other regions are scored only when the caller's region has too few instances.
-		n := len(dst)
-		dst = bestOf(s, region, caller, false, dst)
-		dst = dst[:min(len(dst), n+rest)]
+	if out, ok := s.Live.Entries(region, caller, dst); ok {
+		return out
 	}
-	return dst
-}
-
-// bestOf appends the live instances with the highest scores, within the region or outside of it.
-func bestOf(s *state.Snapshot, region state.RegionName, caller uint64, within bool, dst []int) []int {
-	var best [MaxEntries]uint64
-	var at [MaxEntries]int
-	n := 0
+	const near = 1 << 63 // instances of the region rank before all others
+	var b state.Best
 	for i := range s.Instances {
 		in := &s.Instances[i]
-		if (in.Region == region) != within || in.Status != state.InstanceLive || (s.Leaving && in.Name == s.Self.Name) {
+		if in.Status != state.InstanceLive || s.Leaving && in.Name == s.Self.Name {
 			continue
 		}
-		score := entryScore(in, caller)
-		if n == MaxEntries && score <= best[n-1] {
-			continue
+		score := state.LookupScore(in.Hash(), caller)
+		if in.Region == region {
+			score |= near
 		}
-		n = min(n+1, MaxEntries)
-		k := n - 1
-		for ; k > 0 && best[k-1] < score; k-- {
-			best[k], at[k] = best[k-1], at[k-1]
-		}
-		best[k], at[k] = score, i
+		b.Add(score, i)
 	}
-	return append(dst, at[:n]...)
-}
-
-// entryScore ranks an instance for a caller.
-func entryScore(in *state.Instance, caller uint64) uint64 {
-	const multiplier = 0x9E3779B97F4A7C15 // 2^64 divided by the golden ratio, spreads consecutive hashes
-	h := (caller ^ in.Hash()) * multiplier
-	h ^= h >> 32
-	return h * multiplier
+	return append(dst, b.Index[:b.N]...)
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -13,6 +13,7 @@
 	"azurebridge/coordination/message"
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
+	"azurebridge/state/blocks"
 	"azurebridge/transport/backend"
 	"azurebridge/transport/observe"
 )
@@ -39,8 +40,9 @@
 type Options struct {
 	Control   Control
 	Backends  *backend.Client
-	MaxBody   int64 // bytes of a request body
-	MaxHeader int   // bytes of a request header
+	MaxBody   int64                  // bytes of a request body
+	MaxHeader int                    // bytes of a request header
+	Blocks    func() *blocks.Regions // client blocks in use, which may be nil; nil for none
 	// LookupWait is how long a stopping instance accepts new requests; 0 means DefaultLookupWait.
 	LookupWait time.Duration
 	Log        hclog.Logger
@@ -89,6 +91,9 @@
 	if opts.LookupWait == 0 {
 		opts.LookupWait = DefaultLookupWait
 	}
+	if opts.Blocks == nil {
+		opts.Blocks = func() *blocks.Regions { return nil }
+	}
 	m := &Manager{opts: opts}
 	m.buffers.New = func() any { b := make([]byte, copyBuffer); return &b }
 	return m
