load, standin: timeline of results, limits of shifts and use over time

The experiments with failures need to know when goodput returns, whether a shift stays under its cap, and when a drained server got its last request. The ledger had only peaks since the start.

azb-load writes buckets of 100 ms as CSV and reports the calls to the store. The ledger integrates running requests over time, counts them for each pair of regions with a limit that can be set during the run, and shows the time of the last request of each backend server.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,10 @@
 run: build
 	@DEPLOYMENT="$(DEPLOYMENT)" DURATION="$(DURATION)" scripts/run.sh
 
+# bench runs the experiments with failures on real processes; EXPERIMENTS chooses some by number, for example "1 4".
+bench: build
+	@scripts/bench.sh $(EXPERIMENTS)
+
 # model checks the specifications in model/ with spin (Debian's package spin).
 model:
 	scripts/model.sh
--- a/cmd/azb-load/main.go
+++ b/cmd/azb-load/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"azurebridge/protocol/settings"
 	"azurebridge/transport/load"
@@ -26,6 +27,7 @@
 	Duration time.Duration `help:"Length of the load; replaces the one of the settings."`
 	Seed     uint64        `help:"Seed of the arrivals; replaces the one of the settings."`
 	Wait     time.Duration `help:"Longest wait until all entry instances are ready." default:"30s"`
+	Timeline string        `help:"File for the results in buckets of 100 ms (CSV)." type:"path"`
 	LogLevel string        `help:"Log level." enum:"trace,debug,info,warn,error" default:"info"`
 }
 
@@ -52,6 +54,7 @@
 	if cli.Seed > 0 {
 		cfg.Seed = cli.Seed
 	}
+	cfg.Timeline = cli.Timeline != ""
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := hclog.New(&hclog.LoggerOptions{Name: "load", Level: hclog.LevelFromString(cli.LogLevel), JSONFormat: true, Output: os.Stderr})
@@ -64,5 +67,10 @@
 	if err != nil {
 		return false, err
 	}
+	if cli.Timeline != "" {
+		if err := os.WriteFile(cli.Timeline, r.Timeline(), 0o644); err != nil {
+			return false, errors.Wrap(err, "write the timeline")
+		}
+	}
 	return report.Clean(), report.Write(os.Stdout)
 }
--- a/protocol/settings/load.go
+++ b/protocol/settings/load.go
@@ -17,6 +17,7 @@
 	Seed        uint64
 	MaxInFlight int
 	NetworkRTT  time.Duration // round trip between a client and its entry instance
+	Timeline    bool          // keep the results in buckets of time
 	Mix         []MixLine
 	Faults      []ScheduledFault
 }
--- /dev/null
+++ b/scripts/experiments/lib.sh
@@ -0,0 +1,138 @@
+# Functions of the experiments. Each experiment sources it from the project's root, after `set -euo pipefail`; it runs one
+# deployment on its own loopback network. FIGURES names the file that collects the figures as JSON lines.
+
+source scripts/lib.sh
+
+EXPERIMENT=$(basename "$0" .sh)
+DEPLOYMENT=${DEPLOYMENT:-archive}
+SEED=${SEED:-1}
+FIGURES=${FIGURES:-/dev/null}
+out=$PWD/out/bench-$$-$EXPERIMENT
+network=""
+declare -A INSTANCE_PID=() # by name
+BROKEN=0                   # 1 after a figure that shows a broken invariant
+LOAD_PID=""
+
+finish() {
+  local code=$?
+  trap - EXIT INT TERM
+  stop_all
+  [[ -z $network ]] || release_network "$network"
+  if ((code == 0 && BROKEN == 0)) && [[ -z ${KEEP:-} ]]; then
+    rm -rf "$out"
+  else
+    echo "logs kept in ${out#"$PWD"/}" >&2
+  fi
+  if ((code == 0)); then code=$BROKEN; fi
+  exit "$code"
+}
+trap finish EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# figure KIND NAME VALUE UNIT OPERATOR BOUND [BASELINE] prints a figure. KIND is invariant, target or info. OPERATOR is
+# one of <= >= and -, which means no bound.
+figure() {
+  jq -cn --arg e "$EXPERIMENT" --arg kind "$1" --arg name "$2" --argjson value "${3:-null}" --arg unit "$4" \
+    --arg op "$5" --argjson bound "${6:-null}" --argjson baseline "${7:-null}" --argjson load "$(cut -d' ' -f1 /proc/loadavg)" '
+    {experiment: $e, name: $name, value: $value, unit: $unit, op: $op, bound: $bound, baseline: $baseline, kind: $kind,
+     ok: (if $op == "-" then true elif $value == null then false elif $op == "<=" then $value <= $bound else $value >= $bound end),
+     load_average: $load}' | tee -a "$FIGURES" "$out/figures.jsonl"
+  if [[ $1 == invariant && $(tail -n 1 "$out/figures.jsonl" | jq .ok) != true ]]; then
+    BROKEN=1
+  fi
+}
+
+# deploy starts the deployment. An experiment may define `adjust`, which changes the rendered settings before the start.
+deploy() {
+  local name i=1
+  mkdir -p "$out"
+  network=$(pick_network)
+  start_deployment "$DEPLOYMENT" "$out" "$network"
+  while read -r name _; do
+    INSTANCE_PID[$name]=${PIDS[i]}
+    i=$((i + 1))
+  done <"$out/instances.txt"
+  export AZB_KEYS=$out/keys
+}
+
+# load_start SETTINGS DURATION [SEED] starts the load and returns when it runs. Its results are $out/report.json,
+# $out/report.txt and $out/timeline.csv.
+load_start() {
+  local i
+  rm -f "$out/load.code" "$out/load.log"
+  start "$out/load.log" bash -c 'code=0; "$@" >"'"$out"'/report.txt" || code=$?; echo "$code" >"'"$out"'/load.code"' load \
+    bin/azb-load --config "$out/$1.ini" --duration "$2" --seed "${3:-$SEED}" --timeline "$out/timeline.csv"
+  LOAD_PID=$!
+  for i in $(seq 400); do
+    if grep -qs 'entry instances are ready' "$out/load.log"; then return 0; fi
+    if [[ -e $out/load.code ]]; then break; fi
+    sleep 0.1
+  done
+  echo "the load did not start:" >&2
+  tail -n 3 "$out/load.log" >&2
+  return 1
+}
+
+# load_wait waits for the end of the load and prints its promises as figures. The prefix PREFIX names the run.
+load_wait() {
+  local prefix=${1:-} name
+  wait "$LOAD_PID" || true
+  if [[ ! -s $out/load.code || $(<"$out/load.code") -gt 1 ]]; then
+    echo "azb-load failed:" >&2
+    tail -n 3 "$out/load.log" >&2
+    return 1
+  fi
+  tail -n 1 "$out/report.txt" >"$out/report.json"
+  for name in duplicate_runs false_not_run lost_accepted wrong_body truncated_as_whole cap_overshoots; do
+    figure invariant "$prefix$name" "$(report ".$name")" "" "<=" 0
+  done
+  if (($(report .cap_overshoots) > 0)); then
+    ledger | jq -c '(.servers + .regions + .shifts + .links)[] | select(.overshoots > 0)' >&2
+  fi
+}
+
+# report FILTER prints a value of the last report.
+report() { jq "$1" "$out/report.json"; }
+
+# control METHOD PATH [BODY] calls the control address of the stand-ins.
+control() {
+  curl -sS --fail-with-body --max-time 10 -X "$1" ${3:+-d "$3"} "http://127.$network.0.1:7001$2"
+}
+
+# fault JSON switches a fault on.
+fault() {
+  echo "$(now) fault $1" >>"$out/events.txt"
+  control POST /v1/faults "$1" >>"$out/events.txt"
+}
+
+# ledger prints the ledger without the runs.
+ledger() { control GET /v1/ledger | jq -c 'del(.runs)'; }
+
+# now prints the Unix time in milliseconds.
+now() { date +%s%3N; }
+
+# signal SIGNAL INSTANCE... sends a signal to entry instances.
+signal() {
+  local sig=$1 name
+  shift
+  for name in "$@"; do
+    echo "$(now) $sig $name" >>"$out/events.txt"
+    kill "-$sig" "${INSTANCE_PID[$name]}"
+  done
+  if [[ $sig == KILL ]]; then
+    for name in "$@"; do wait "${INSTANCE_PID[$name]}" 2>/dev/null || true; done
+  fi
+}
+
+# operators FIRST LAST prints azb-ctl arguments for the entry instances with these numbers.
+operators() {
+  local i
+  for ((i = $1; i <= $2; i++)); do echo --instance "127.$network.1.$i:8443"; done
+}
+
+# operate COMMAND... makes a change at one of the first three instances and prints the revision.
+operate() {
+  # shellcheck disable=SC2046
+  bin/azb-ctl "$@" $(operators 1 3) | tee -a "$out/events.txt" | awk '{ print $2 }'
+}
--- a/transport/load/report.go
+++ b/transport/load/report.go
@@ -39,6 +39,9 @@
 	LookupsFailed   uint64          `json:"lookups_failed"`
 	Bytes           uint64          `json:"bytes"`
 	DurationSeconds float64         `json:"duration_s"`
+	StoreReads      uint64          `json:"store_reads"` // calls, also refused ones
+	StoreWrites     uint64          `json:"store_writes"`
+	Shed            uint64          `json:"shed"` // requests that backend servers refused
 	Services        map[string]Line `json:"services"`
 
 	rows []row
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -40,7 +40,8 @@
 	table     table
 	slots     chan struct{} // bounds the requests in flight
 	running   sync.WaitGroup
-	nonce     string // distinguishes the submissions of runs against the same stand-ins
+	timeline  *timeline // nil for none
+	nonce     string    // distinguishes the submissions of runs against the same stand-ins
 }
 
 // New returns a runner.
@@ -70,6 +71,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	begin := time.Now()
+	if r.cfg.Timeline {
+		r.timeline = newTimeline(begin)
+	}
 	plan := r.scheduleFaults(ctx)
 	var streams sync.WaitGroup
 	for i := range r.cfg.Mix {
@@ -90,7 +94,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.report(before, after, seconds), nil
+	out := r.report(before, after, seconds)
+	out.setCalls(before, after)
+	return out, nil
 }
 
 // settle waits for the requests in flight, and cancels those that take longer than the settings allow.
@@ -153,7 +159,9 @@
 // one makes a request and counts it. The latency runs from the intended start.
 func (r *Runner) one(ctx context.Context, o *order, intended time.Time) {
 	res := r.sender.do(ctx, o)
-	r.table.of(pair{o.customer, o.line.Service}).add(res, time.Since(intended))
+	took := time.Since(intended)
+	r.table.of(pair{o.customer, o.line.Service}).add(res, took)
+	r.timeline.add(o.line.Service, intended, took, res)
 }
 
 // repeat sends a submission again with the same key through another entry instance, while or after the first runs.
--- /dev/null
+++ b/transport/load/timeline_test.go
@@ -0,0 +1,29 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against results that count when the request began, which would hide how long goodput stays away.
+func TestTimelineCountsResultsAtTheirEnd(t *testing.T) {
+	g := NewWithT(t)
+	begin := time.UnixMilli(1000)
+	var none *timeline
+	none.add("search", begin, 0, resultOK)
+	line := newTimeline(begin)
+	line.add("search", begin.Add(50*time.Millisecond), 20*time.Millisecond, resultOK)
+	line.add("search", begin.Add(90*time.Millisecond), 1100*time.Millisecond, resultOK)
+	line.add("orders", begin.Add(95*time.Millisecond), 10*time.Millisecond, resultNotRun)
+	line.add("orders", begin.Add(150*time.Millisecond), 10*time.Millisecond, resultUnknown)
+	g.Expect(strings.Split(strings.TrimSpace(string(line.csv())), "\n")).To(HaveExactElements(
+		"unix_ms,service,arrived,ok,not_run,unknown,failed,slow,p99_ms",
+		"1000,orders,1,0,0,0,0,0,0.0",
+		HavePrefix("1000,search,2,1,0,0,0,0,2"),
+		"1100,orders,1,0,1,1,0,0,0.0",
+		HavePrefix("2100,search,0,1,0,0,0,1,1"),
+	))
+}
--- a/transport/standin/backend.go
+++ b/transport/standin/backend.go
@@ -36,8 +36,9 @@
 	Cancelled   uint64  `json:"cancelled"`
 	Expired     uint64  `json:"expired"` // deadlines passed
 	WarmFactor  float64 `json:"warm_factor"`
-	ColdMeanMs  float64 `json:"cold_mean_ms"` // measured mean service time of the first requests after a cold start
-	WarmMeanMs  float64 `json:"warm_mean_ms"` // measured mean service time of the last requests
+	ColdMeanMs  float64 `json:"cold_mean_ms"`  // measured mean service time of the first requests after a cold start
+	WarmMeanMs  float64 `json:"warm_mean_ms"`  // measured mean service time of the last requests
+	LastStartMs int64   `json:"last_start_ms"` // Unix time at which the last request arrived that was not a probe; 0 for none
 }
 
 // Backend is the stand-in of one backend server.
@@ -53,6 +54,7 @@
 	load    lagged
 
 	served, shed, cancelled, expired atomic.Uint64
+	lastStart                        atomic.Int64 // Unix time in ms
 }
 
 // newBackend returns the stand-in of a backend server.
@@ -69,6 +71,7 @@
 	return BackendStatus{
 		Server: string(b.server.Name), Running: b.running.Load(), Served: b.served.Load(), Shed: b.shed.Load(),
 		Cancelled: b.cancelled.Load(), Expired: b.expired.Load(), WarmFactor: factor, ColdMeanMs: cold, WarmMeanMs: warm,
+		LastStartMs: b.lastStart.Load(),
 	}
 }
 
@@ -78,6 +81,7 @@
 		b.probe(w, r)
 		return
 	}
+	b.lastStart.Store(b.env.now().UnixMilli())
 	from, known := b.env.instances.Place(r.RemoteAddr)
 	if !b.travel(r, from, known) {
 		return
@@ -87,14 +91,13 @@
 		defer cancel()
 		r = r.WithContext(ctx)
 	}
-	s, ok := b.enter(r)
+	s, ok := b.enter(r, from.region)
 	if !ok {
 		b.shed.Add(1)
 		refuse(w, "no free slot")
 		return
 	}
 	defer s.leave()
-	s.peer = from.region
 	if b.kind == state.KindSubmission && r.Method == http.MethodPost {
 		b.serveSubmission(w, r, s)
 		return
@@ -132,14 +135,14 @@
 }
 
 // enter takes a slot. It waits at most the slot grace, in which a request that has just ended leaves its slot.
-func (b *Backend) enter(r *http.Request) (*slot, bool) {
+func (b *Backend) enter(r *http.Request, peer string) (*slot, bool) {
 	if _, ok := b.env.faults.Hit(Drain, b.target); ok {
 		return nil, false
 	}
 	if _, ok := b.env.faults.Hit(Shed, b.target); ok {
 		return nil, false
 	}
-	b.env.ledger.Running(b.target.Server, b.target.Region, 1)
+	b.env.ledger.Running(b.target.Server, peer, b.target.Region, 1)
 	select {
 	case b.slots <- struct{}{}:
 	default:
@@ -148,15 +151,15 @@
 		select {
 		case b.slots <- struct{}{}:
 		case <-t.C:
-			b.env.ledger.Running(b.target.Server, b.target.Region, -1)
+			b.env.ledger.Running(b.target.Server, peer, b.target.Region, -1)
 			return nil, false
 		case <-r.Context().Done():
-			b.env.ledger.Running(b.target.Server, b.target.Region, -1)
+			b.env.ledger.Running(b.target.Server, peer, b.target.Region, -1)
 			return nil, false
 		}
 	}
 	b.running.Add(1)
-	return &slot{backend: b}, true
+	return &slot{backend: b, peer: peer}, true
 }
 
 // leave frees the slot. It is called before the last bytes of an answer, because the entry instance may use the slot
@@ -166,7 +169,7 @@
 		b := s.backend
 		b.running.Add(-1)
 		<-b.slots
-		b.env.ledger.Running(b.target.Server, b.target.Region, -1)
+		b.env.ledger.Running(b.target.Server, s.peer, b.target.Region, -1)
 		b.served.Add(1)
 	})
 }
--- a/transport/standin/ledger.go
+++ b/transport/standin/ledger.go
@@ -39,6 +39,7 @@
 	Peak       int    `json:"peak"`
 	Overshoots int    `json:"overshoots"`
 	LongestMs  int64  `json:"longest_excess_ms"` // also when it was shorter than the grace
+	BusyMs     int64  `json:"busy_ms"`           // running requests integrated over time
 }
 
 // LinkUse is the use of a directed link. An overshoot is a window of 100 ms with more bytes than the rate allows.
@@ -57,6 +58,7 @@
 	Dropped  uint64           `json:"dropped"` // runs above the bound of the ledger
 	Servers  []CapUse         `json:"servers"`
 	Regions  []CapUse         `json:"regions"`
+	Shifts   []CapUse         `json:"shifts"` // from entry instances of one region to backend servers of another, as FROM>TO
 	Links    []LinkUse        `json:"links"`
 	Backends []BackendStatus  `json:"backends"`
 	Calls    Calls            `json:"calls"`
@@ -71,6 +73,9 @@
 	for _, c := range r.Regions {
 		n += c.Overshoots
 	}
+	for _, c := range r.Shifts {
+		n += c.Overshoots
+	}
 	for _, l := range r.Links {
 		n += l.Overshoots
 	}
@@ -82,10 +87,14 @@
 	CapUse
 	running   int
 	overSince time.Time
+	changed   time.Time
+	busy      time.Duration // running requests integrated over time until changed
 }
 
 func (g *gauge) add(delta int, now time.Time, grace time.Duration) {
 	over := g.Limit > 0 && g.running > g.Limit
+	g.busy = g.busyUntil(now)
+	g.changed = now
 	g.running += delta
 	g.Peak = max(g.Peak, g.running)
 	stillOver := g.Limit > 0 && g.running > g.Limit
@@ -101,6 +110,13 @@
 	}
 }
 
+func (g *gauge) busyUntil(now time.Time) time.Duration {
+	if g.running == 0 {
+		return g.busy
+	}
+	return g.busy + time.Duration(g.running)*now.Sub(g.changed)
+}
+
 // meter counts the bytes of a link in windows.
 type meter struct {
 	LinkUse
@@ -132,6 +148,7 @@
 	dropped uint64
 	servers map[string]*gauge
 	regions map[string]*gauge
+	shifts  map[[2]string]*gauge
 	links   map[[2]string]*meter
 }
 
@@ -141,7 +158,8 @@
 func NewLedger(c *state.Config, grace time.Duration, now func() time.Time) *Ledger {
 	l := &Ledger{
 		now: now, start: now(), grace: grace, runs: make(map[string][]Run),
-		servers: make(map[string]*gauge), regions: make(map[string]*gauge), links: make(map[[2]string]*meter),
+		servers: make(map[string]*gauge), regions: make(map[string]*gauge), shifts: make(map[[2]string]*gauge),
+		links: make(map[[2]string]*meter),
 	}
 	for _, b := range c.Backends {
 		l.servers[string(b.Name)] = &gauge{CapUse: CapUse{Name: string(b.Name), Limit: b.Slots}}
@@ -152,9 +170,38 @@
 	for _, k := range c.Links {
 		l.links[[2]string{string(k.From), string(k.To)}] = &meter{LinkUse: LinkUse{From: string(k.From), To: string(k.To), Rate: k.BytesPerSecond}}
 	}
+	for _, from := range c.Regions {
+		for _, to := range c.Regions {
+			if from.Name != to.Name {
+				l.shifts[[2]string{string(from.Name), string(to.Name)}] = &gauge{CapUse: CapUse{Name: string(from.Name) + ">" + string(to.Name)}}
+			}
+		}
+	}
 	return l
 }
 
+// ShiftLimit is the limit on requests that run at once in a region for entry instances of another one.
+type ShiftLimit struct {
+	From       string `json:"from"`
+	To         string `json:"to"`
+	MaxRunning int    `json:"max_running"` // 0 means none
+}
+
+// LimitShift compares the requests between two regions with a limit from now on, and starts its counters again. It
+// returns false when there are no such regions.
+func (l *Ledger) LimitShift(s ShiftLimit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.shifts[[2]string{s.From, s.To}]
+	if g == nil {
+		return false
+	}
+	now := l.now()
+	g.CapUse = CapUse{Name: g.Name, Limit: s.MaxRunning, Peak: g.running}
+	g.busy, g.changed, g.overSince = 0, now, now
+	return true
+}
+
 // Ran records one run of a submission.
 func (l *Ledger) Ran(id, server string) {
 	l.mu.Lock()
@@ -167,8 +214,8 @@
 	l.runs[id] = append(l.runs[id], Run{Server: server, AtMs: l.now().Sub(l.start).Milliseconds()})
 }
 
-// Running counts a request that begins (1) or ends (-1) at a server of a region.
-func (l *Ledger) Running(server, region string, delta int) {
+// Running counts a request from an entry instance of a region that begins (1) or ends (-1) at a server of a region.
+func (l *Ledger) Running(server, from, region string, delta int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -178,6 +225,9 @@
 	if g := l.regions[region]; g != nil {
 		g.add(delta, now, l.grace)
 	}
+	if g := l.shifts[[2]string{from, region}]; g != nil {
+		g.add(delta, now, l.grace)
+	}
 }
 
 // Carried counts bytes that crossed a link.
@@ -196,7 +246,7 @@
 func (l *Ledger) Report() Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := Report{Runs: make(map[string][]Run, len(l.runs)), Dropped: l.dropped, Servers: l.use(l.servers), Regions: l.use(l.regions)}
+	r := Report{Runs: make(map[string][]Run, len(l.runs)), Dropped: l.dropped, Servers: use(l, l.servers), Regions: use(l, l.regions), Shifts: use(l, l.shifts)}
 	for id, runs := range l.runs {
 		r.Runs[id] = append([]Run(nil), runs...)
 	}
@@ -208,11 +258,13 @@
 }
 
 // use returns the use of limits in the order of names, counting an excess that still lasts. l.mu is held.
-func (l *Ledger) use(gauges map[string]*gauge) []CapUse {
+func use[K comparable](l *Ledger, gauges map[K]*gauge) []CapUse {
 	var out []CapUse
+	now := l.now()
 	for _, g := range gauges {
 		u := g.CapUse
-		if g.Limit > 0 && g.running > g.Limit && l.now().Sub(g.overSince) >= l.grace {
+		u.BusyMs = g.busyUntil(now).Milliseconds()
+		if g.Limit > 0 && g.running > g.Limit && now.Sub(g.overSince) >= l.grace {
 			u.Overshoots++
 		}
 		out = append(out, u)
--- a/transport/standin/standin.go
+++ b/transport/standin/standin.go
@@ -17,6 +17,7 @@
 const (
 	PathFaults = "/v1/faults"
 	PathLedger = "/v1/ledger"
+	PathShift  = "/v1/shift"
 )
 
 // Standin runs the stand-ins of one deployment.
@@ -103,6 +104,7 @@
 	})
 	mux.HandleFunc("DELETE "+PathFaults+"/{id}", s.deleteFault)
 	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Report()) })
+	mux.HandleFunc("POST "+PathShift, s.postShift)
 	mux.HandleFunc("POST "+storeapi.PathInstances, s.Instances.serveSet)
 	return mux
 }
@@ -138,6 +140,18 @@
 	reply(w, f)
 }
 
+func (s *Standin) postShift(w http.ResponseWriter, r *http.Request) {
+	var limit ShiftLimit
+	if !read(w, r, &limit) {
+		return
+	}
+	if !s.Ledger.LimitShift(limit) {
+		http.Error(w, "want two regions of the deployment", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Standin) deleteFault(w http.ResponseWriter, r *http.Request) {
 	if s.Faults.Remove(r.PathValue("id")) == 0 {
 		http.Error(w, "no fault with this id", http.StatusNotFound)
