--- a/protocol/settings/load.go
+++ b/protocol/settings/load.go
@@ -36,6 +36,7 @@
 	Keyed      float64       // share of submissions with an idempotency key, 0 to 1
 	Repeat     float64       // share of keyed submissions that are sent again with the same key, 0 to 1
 	Timeout    time.Duration // of one attempt
+	ReadRate   int64         // bytes/s at which the client reads a body; 0 means as fast as it comes
 	Deadline   time.Duration // sent as Azb-Deadline-Ms; 0 sends none
 }
 
@@ -53,6 +54,7 @@
 	maxItems    = 1 << 20
 	maxClients  = 1 << 16
 	maxInFlight = 1 << 17
+	maxReadRate = 1 << 30 // bytes/s
 )
 
 // ReadLoad reads the settings of azb-load.
@@ -98,6 +100,7 @@
 		Keyed:      s.Percent("keyed", 0) / 100,
 		Repeat:     s.Percent("repeat", 0) / 100,
 		Timeout:    s.Duration("timeout", 10*time.Second, time.Millisecond, maxGrace),
+		ReadRate:   s.Rate("read_rate", 0, maxReadRate),
 		Deadline:   s.Duration("deadline", 0, 0, maxGrace),
 	}
 	if len(m.Customers) == 0 {
--- a/scripts/experiments/1-at-most-once.sh
+++ b/scripts/experiments/1-at-most-once.sh
@@ -26,11 +26,12 @@
 sleep 2
 fault '{"kind":"store_lost_reply","share":0.3,"for_ms":6000}'
 sleep 3
-signal KILL entry-05 entry-09
+signal KILL "$(home malopolska)" entry-09
 sleep 4
-signal STOP entry-03
+paused=$(home mazowsze)
+signal STOP "$paused"
 sleep 3
-signal CONT entry-03
+signal CONT "$paused"
 sleep 2
 fault '{"kind":"store_outage","mode":"refuse","for_ms":5000}'
 sleep 2
--- a/scripts/experiments/lib.sh
+++ b/scripts/experiments/lib.sh
@@ -136,3 +136,9 @@
   # shellcheck disable=SC2046
   bin/azb-ctl "$@" $(operators 1 3) | tee -a "$out/events.txt" | awk '{ print $2 }'
 }
+
+# home REGION prints the entry instance that is home of a region.
+home() {
+  # shellcheck disable=SC2046
+  bin/azb-ctl dump $(operators 1 3) | jq -r --arg r "$1" '.homes[] | select(.Region == $r) | .Home'
+}
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -27,6 +27,7 @@
 	ledgerTimeout   = 10 * time.Second
 	maxLedger       = 256 << 20 // bytes
 	maxRepeatDelay  = 300 * time.Millisecond
+	readBuffer      = 256 << 10 // bytes of the kernel's receive buffer
 )
 
 // Runner makes one run.
@@ -51,7 +52,7 @@
 		slots: make(chan struct{}, cfg.MaxInFlight), nonce: strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerEntry, IdleConnTimeout: idleConn, DisableCompression: true, ReadBufferSize: checkBuffer,
 	}}
 	r.directory = newDirectory(client, cfg.Platform.String(), &r.stats)
@@ -59,6 +60,15 @@
 	return r
 }
 
+// dial connects with a small receive buffer, so that little of a body waits at a client that reads slowly.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(readBuffer) // only the evenness of the reads depends on it
+	}
+	return c, err
+}
+
 // Run sends the load and returns the report. It fails when the stand-ins cannot be asked.
 func (r *Runner) Run(ctx context.Context) (*Report, error) {
 	if _, err := r.directory.refresh(ctx); err != nil {
--- a/transport/load/send.go
+++ b/transport/load/send.go
@@ -139,6 +139,9 @@
 		s.stats.WrongBody.Add(1)
 		return attempt{result: resultFailed}
 	}
+	if o.line.ReadRate > 0 {
+		resp.Body = &pacedBody{ReadCloser: resp.Body, ctx: ctx, rate: o.line.ReadRate, begin: time.Now()}
+	}
 	reached, found := check(resp, body, at)
 	s.stats.Bytes.Add(uint64(reached - at))
 	switch found {
--- a/transport/load/timeline_test.go
+++ b/transport/load/timeline_test.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -27,3 +29,17 @@
 		HavePrefix("2100,search,0,1,0,0,0,1,1"),
 	))
 }
+
+// Guards against a client that reads on after the end of its patience, and against a pace that loses bytes.
+func TestPacedBodyEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &pacedBody{ReadCloser: io.NopCloser(strings.NewReader("abcdef")), ctx: ctx, rate: 1 << 40, begin: time.Now()}
+	b := make([]byte, 4)
+	g.Expect(p.Read(b)).To(Equal(4))
+	g.Expect(p.Read(b)).To(Equal(2))
+	p.rate = 1 // the next read is due after 6 s
+	cancel()
+	_, err := p.Read(b)
+	g.Expect(err).To(MatchError(context.Canceled))
+}
