--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -75,7 +75,7 @@
 	go feed.DecodeConfigs(ctx)
 	go feed.WatchConfig(ctx)
 	go feed.WatchInstances(ctx)
-	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(nil), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
+	ed := edge.New(edge.Options{Control: loop, Backends: backend.New(backend.DialFrom(cfg.Callers.Addr())), MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge")})
 	return serve(ctx, cfg, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
 }
 
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -8,11 +8,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
@@ -77,27 +75,6 @@
 	return &Client{pooled: base.Clone(), single: single}
 }
 
-// Dial opens a TCP connection that finds out within UnackedTimeout when the other end is gone.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: KeepAliveInterval, Count: 2,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout/time.Millisecond))
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
-		},
-	}
-	return d.DialContext(ctx, network, address)
-}
-
 // Call is one request to one backend server.
 type Call struct {
 	Server    *state.BackendServer
