experiments: caps, drains and planned stops

The scripts signal only processes that still run: process ids come round within minutes, so that a late kill could reach another run.

--- /dev/null
+++ b/scripts/experiments/2-caps.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Compares the running requests and the bytes with their limits: an overload of every service with narrow links, then a
+# drained region whose traffic moves under an operator's caps.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+source scripts/experiments/lib.sh
+
+adjust() { sed -i 's/^rate = 4Gbit\/s/rate = 100Mbit\/s/; s/^rate = 40Mbit\/s/rate = 10Mbit\/s/' "$out/deployment.ini"; }
+
+# mean KIND NAME prints the mean of running requests between the ledgers $out/before.json and $out/after.json.
+mean() {
+  jq -n --slurpfile b "$out/before.json" --slurpfile a "$out/after.json" --arg n "$2" --argjson ms "$window_ms" \
+    "def busy(l): l[0].$1[] | select(.name == \$n).busy_ms; (busy(\$a) - busy(\$b)) / \$ms * 100 | round / 100"
+}
+
+# window SECONDS takes the ledgers at the start and at the end of some seconds.
+window() {
+  local begin
+  begin=$(now)
+  ledger >"$out/before.json"
+  sleep "$1"
+  ledger >"$out/after.json"
+  window_ms=$(($(now) - begin))
+}
+
+deploy
+for service in search submissions; do fault '{"kind":"slow","service":"'$service'","factor":4}'; done
+load_start load-overload 14s
+sleep 5
+window 8
+load_wait "overload: "
+for region in mazowsze malopolska pomorze; do
+  figure info "overload: peak running of 76 in $region" \
+    "$(jq --arg n $region '.regions[] | select(.name == $n).peak' "$out/after.json")" "" -
+done
+# mazowsze and malopolska have 86 slots or more, so that the region's limit binds there.
+for region in mazowsze malopolska; do
+  figure target "overload: use of the limit of $region" "$(jq -n "$(mean regions $region) / 76 * 1000 | round / 10")" % ">=" 90
+done
+figure info "overload: requests that ended unknown or failed" "$(report '.unknown + .failed')" "" -
+figure info "overload: grants whose lease ended at a live instance" "$(sum_stats .Holder.Fenced 1 20)" "" -
+figure info "overload: requests that backend servers refused" "$(report '.shed / (.ok + .shed) * 10000 | round / 100')" % -
+
+control DELETE /v1/faults >/dev/null
+sleep 2
+load_start load-shift 22s
+sleep 2
+operate cap night --from pomorze --to mazowsze --max 8 >/dev/null
+operate cap day --from pomorze --to malopolska --max 5 >/dev/null
+sleep 1
+control POST /v1/shift '{"from":"pomorze","to":"mazowsze","max_running":8}'
+control POST /v1/shift '{"from":"pomorze","to":"malopolska","max_running":5}'
+operate drain region pomorze >/dev/null
+sleep 4
+window 5
+ledger >"$out/shift.json"
+for shift in "mazowsze 8" "malopolska 5"; do
+  read -r to cap <<<"$shift"
+  figure info "drained region: peak of the shift to $to under a cap of $cap" \
+    "$(jq --arg n "pomorze>$to" '.shifts[] | select(.name == $n).peak' "$out/shift.json")" "" -
+  figure target "drained region: use of the cap on the shift to $to" \
+    "$(jq -n "$(mean shifts "pomorze>$to") / $cap * 1000 | round / 10")" % ">=" 90
+done
+operate cap night --from pomorze --to mazowsze --max 4 >/dev/null
+sleep 1.5
+control POST /v1/shift '{"from":"pomorze","to":"mazowsze","max_running":4}'
+window 4
+figure target "drained region: use of the cap on the shift to mazowsze after it was lowered to 4" \
+  "$(jq -n "$(mean shifts "pomorze>mazowsze") / 4 * 1000 | round / 10")" % ">=" 90
+load_wait "drained region: "
+figure info "drained region: searches refused as not run" "$(report '.refused_not_run / .requests * 1000 | round / 10')" % -
+
+operate cap night --remove >/dev/null
+operate cap day --remove >/dev/null
+for to in mazowsze malopolska; do control POST /v1/shift '{"from":"pomorze","to":"'$to'","max_running":0}'; done
+load_start load-links 12s
+sleep 4
+window 6
+for to in mazowsze malopolska; do
+  figure info "narrow links: peak window of the link from $to, of its rate" \
+    "$(jq --arg n "$to" '.links[] | select(.from == $n and .to == "pomorze") | .peak_window_bytes / (.rate / 10) * 1000 | round / 10' "$out/after.json")" % -
+  figure target "narrow links: use of the link from $to" "$(jq -n --slurpfile b "$out/before.json" --slurpfile a "$out/after.json" \
+    --argjson ms "$window_ms" --arg n "$to" 'def bytes(l): l[0].links[] | select(.from == $n and .to == "pomorze") | .bytes;
+      (bytes($a) - bytes($b)) / ($a[0].links[0].rate * $ms / 1000) * 1000 | round / 10')" % ">=" 90
+done
+load_wait "narrow links: "
--- a/scripts/experiments/lib.sh
+++ b/scripts/experiments/lib.sh
@@ -118,7 +118,7 @@
   shift
   for name in "$@"; do
     echo "$(now) $sig $name" >>"$out/events.txt"
-    kill "-$sig" "${INSTANCE_PID[$name]}"
+    if runs "${INSTANCE_PID[$name]}"; then kill "-$sig" "${INSTANCE_PID[$name]}"; fi
   done
   if [[ $sig == KILL ]]; then
     for name in "$@"; do wait "${INSTANCE_PID[$name]}" 2>/dev/null || true; done
@@ -142,3 +142,15 @@
   # shellcheck disable=SC2046
   bin/azb-ctl dump $(operators 1 3) | jq -r --arg r "$1" '.homes[] | select(.Region == $r) | .Home'
 }
+
+# mark INSTANCE STATUS changes the platform's list of instances: live, leaving or removed.
+mark() { control POST /v1/instances '{"name":"'"$1"'","status":"'"$2"'"}'; }
+
+# sum_stats FILTER FIRST LAST prints the sum of a counter over the dumps of entry instances; those that are gone count 0.
+sum_stats() {
+  local i
+  for ((i = $2; i <= $3; i++)); do
+    # shellcheck disable=SC2046
+    bin/azb-ctl dump $(operators "$i" "$i") 2>/dev/null | jq ".stats | $1" || true
+  done | jq -s add
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -57,11 +57,15 @@
   PIDS+=($!)
 }
 
+# runs PID reports whether a process that this shell started still runs. Process ids are used again within minutes on a busy
+# machine, so that a signal to one that has ended could reach a process of another run.
+runs() { jobs -pr | grep -qx "$1"; }
+
 # stop_all ends the processes that this run started, at once: the run is over, so a planned stop would only take time.
 stop_all() {
   local pid
   for pid in "${PIDS[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
+    if runs "$pid"; then kill -KILL "$pid" 2>/dev/null || true; fi
   done
   for pid in "${PIDS[@]}"; do
     wait "$pid" 2>/dev/null || true
@@ -69,10 +73,12 @@
   PIDS=()
 }
 
-# start_deployment EXAMPLE OUT NETWORK starts the stand-ins and the entry instances, and applies the configuration.
+# start_deployment EXAMPLE OUT NETWORK starts the stand-ins and the entry instances, and applies the configuration. The
+# function `adjust`, if there is one, changes the settings before.
 start_deployment() {
   local example=$1 out=$2 network=$3 name rest
   render_deployment "$example" "$out" "$network"
+  if declare -F adjust >/dev/null; then adjust; fi
   # The settings name the deployment file without a folder, so the stand-ins run in the folder of the settings.
   start "$out/standin.log" env -C "$out" "$PWD/bin/azb-standin" --config standin.ini
   while read -r name rest; do
--- a/scripts/rollout.sh
+++ b/scripts/rollout.sh
@@ -11,7 +11,7 @@
 pids=()
 cleanup() {
   local pid
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do if runs "$pid"; then kill -9 "$pid" 2>/dev/null || true; fi; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   rmdir "${TMPDIR:-/tmp}/azb-network-$network"
   [ -n "${KEEP:-}" ] && echo "logs kept in $out" || rm -rf "$out"
