--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -63,9 +63,10 @@
 
 # stop_all ends the processes that this run started, at once: the run is over, so a planned stop would only take time.
 stop_all() {
-  local pid
+  local pid running
+  running=$(jobs -pr)
   for pid in "${PIDS[@]}"; do
-    if runs "$pid"; then kill -KILL "$pid" 2>/dev/null || true; fi
+    if grep -qx "$pid" <<<"$running"; then kill -KILL "$pid" 2>/dev/null || true; fi
   done
   for pid in "${PIDS[@]}"; do
     wait "$pid" 2>/dev/null || true
--- a/scripts/rollout.sh
+++ b/scripts/rollout.sh
@@ -10,10 +10,10 @@
 out=$(mktemp -d)
 pids=()
 cleanup() {
-  local pid
-  for pid in "${pids[@]}"; do if runs "$pid"; then kill -9 "$pid" 2>/dev/null || true; fi; done
+  local pid running; running=$(jobs -pr)
+  for pid in "${pids[@]}"; do if grep -qx "$pid" <<<"$running"; then kill -9 "$pid" 2>/dev/null || true; fi; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rmdir "${TMPDIR:-/tmp}/azb-network-$network"
+  release_network "$network"
   [ -n "${KEEP:-}" ] && echo "logs kept in $out" || rm -rf "$out"
 }
 trap cleanup EXIT
