--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -9,11 +9,9 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
@@ -78,31 +76,6 @@
 	return &Client{pooled: base.Clone(), single: single}
 }
 
-// DialFrom returns a Dialer whose connections have the local address ip, so that backend servers can tell entry instances
-// apart. A connection finds out within UnackedTimeout when the other end is gone.
-func DialFrom(ip netip.Addr) Dialer {
-	d := net.Dialer{
-		Timeout: DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: KeepAliveInterval, Count: 2,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout/time.Millisecond))
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
-		},
-	}
-	if ip.IsValid() && !ip.IsUnspecified() {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
-	}
-	return d.DialContext
-}
-
 // Call is one request to one backend server.
 type Call struct {
 	Server    *state.BackendServer
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -27,6 +27,7 @@
 	ledgerTimeout   = 10 * time.Second
 	maxLedger       = 256 << 20 // bytes
 	maxRepeatDelay  = 300 * time.Millisecond
+	readBuffer      = 256 << 10 // bytes of the kernel's receive buffer
 )
 
 // Runner makes one run.
@@ -40,7 +41,8 @@
 	table     table
 	slots     chan struct{} // bounds the requests in flight
 	running   sync.WaitGroup
-	nonce     string // distinguishes the submissions of runs against the same stand-ins
+	timeline  *timeline // nil for none
+	nonce     string    // distinguishes the submissions of runs against the same stand-ins
 }
 
 // New returns a runner.
@@ -50,7 +52,7 @@
 		slots: make(chan struct{}, cfg.MaxInFlight), nonce: strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerEntry, IdleConnTimeout: idleConn, DisableCompression: true, ReadBufferSize: checkBuffer,
 	}}
 	r.directory = newDirectory(client, cfg.Platform.String(), &r.stats)
@@ -58,6 +60,15 @@
 	return r
 }
 
+// dial connects with a small receive buffer, so that little of a body waits at a client that reads slowly.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(readBuffer) // only the evenness of the reads depends on it
+	}
+	return c, err
+}
+
 // Run sends the load and returns the report. It fails when the stand-ins cannot be asked.
 func (r *Runner) Run(ctx context.Context) (*Report, error) {
 	if _, err := r.directory.refresh(ctx); err != nil {
@@ -70,6 +81,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	begin := time.Now()
+	if r.cfg.Timeline {
+		r.timeline = newTimeline(begin)
+	}
 	plan := r.scheduleFaults(ctx)
 	var streams sync.WaitGroup
 	for i := range r.cfg.Mix {
@@ -90,7 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.report(before, after, seconds), nil
+	out := r.report(before, after, seconds)
+	out.setCalls(before, after)
+	return out, nil
 }
 
 // settle waits for the requests in flight, and cancels those that take longer than the settings allow.
@@ -153,7 +169,9 @@
 // one makes a request and counts it. The latency runs from the intended start.
 func (r *Runner) one(ctx context.Context, o *order, intended time.Time) {
 	res := r.sender.do(ctx, o)
-	r.table.of(pair{o.customer, o.line.Service}).add(res, time.Since(intended))
+	took := time.Since(intended)
+	r.table.of(pair{o.customer, o.line.Service}).add(res, took)
+	r.timeline.add(o.line.Service, intended, took, res)
 }
 
 // repeat sends a submission again with the same key through another entry instance, while or after the first runs.
