identity: check resumed sessions, count refusals by reason, refuse bad files

Cause: VerifyPeerCertificate is not called for resumed sessions, so that a peer whose certificate was no longer acceptable after a reload could resume. Client copied the certificate, so that TLS settings made before a reload kept the old one. Refusals had one counter and no log line, and Reload accepted an expired certificate.

Ruled out: disabling session tickets. VerifyConnection is called on full and resumed handshakes, checks both against the current authority and time, and leaves resumption on.

Change: both sides use VerifyConnection; the dialling side reads the certificate at each handshake. The server no longer lists its authorities to clients: crypto/tls clients with another authority then sent no certificate, and the reason could not be counted. Reload refuses a certificate that is expired, of another fleet or not issued by the authority, and a damaged certificate among several authorities. Served is the reloadable certificate for callers.

--- /dev/null
+++ b/transport/identity/files.go
@@ -0,0 +1,97 @@
+package identity
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// loadAuthorities reads the certificates of a PEM file. A damaged one is an error: x509.CertPool would leave it out.
+func loadAuthorities(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "load fleet authority")
+	}
+	pool := x509.NewCertPool()
+	for rest := bytes.TrimSpace(data); len(rest) > 0; rest = bytes.TrimSpace(rest) {
+		var block *pem.Block
+		if block, rest = pem.Decode(rest); block == nil {
+			return nil, errors.Errorf("load fleet authority: %s has text that is no PEM data", path)
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, errors.Wrapf(err, "load fleet authority %s", path)
+		}
+		pool.AddCert(cert)
+	}
+	if pool.Equal(x509.NewCertPool()) {
+		return nil, errors.Errorf("load fleet authority: %s has no certificate", path)
+	}
+	return pool, nil
+}
+
+// loadPair reads a certificate chain with its key, and refuses a certificate that is not valid now.
+func loadPair(certificate, key string, now time.Time) (tls.Certificate, error) {
+	cert, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return cert, errors.Wrapf(err, "load certificate %s with key %s", certificate, key)
+	}
+	if now.Before(cert.Leaf.NotBefore) || now.After(cert.Leaf.NotAfter) {
+		return cert, errors.Errorf("load certificate %s: valid from %s to %s only", certificate,
+			cert.Leaf.NotBefore.UTC().Format(time.RFC3339), cert.Leaf.NotAfter.UTC().Format(time.RFC3339))
+	}
+	return cert, nil
+}
+
+// Served is the server certificate of an interface whose clients show none.
+type Served struct {
+	certificate, key string
+	now              func() time.Time
+	current          atomic.Pointer[tls.Certificate]
+}
+
+// LoadServed reads a server certificate, with its chain where there is one, and its key.
+func LoadServed(certificate, key string) (*Served, error) {
+	s := &Served{certificate: certificate, key: key, now: time.Now}
+	return s, s.Reload()
+}
+
+// Reload reads the files again. On error, which names the file, the earlier certificate stays in use.
+func (s *Served) Reload() error {
+	cert, err := loadPair(s.certificate, s.key, s.now())
+	if err != nil {
+		return err
+	}
+	s.current.Store(&cert)
+	return nil
+}
+
+// Config returns TLS settings for http.Server, which adds the protocols. Sessions are resumed: there is no client
+// certificate whose check a resumed session could skip.
+func (s *Served) Config() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.current.Load(), nil },
+	}
+}
+
+// Reloader reads its files again and keeps what it has on error.
+type Reloader interface{ Reload() error }
+
+// ReloadAll reloads each one by itself, so that a bad file of one does not hold up the others.
+func ReloadAll(log hclog.Logger, all ...Reloader) {
+	for _, r := range all {
+		if err := r.Reload(); err != nil {
+			log.Error("reload refused; the earlier certificate stays in use", "error", err)
+			continue
+		}
+		log.Info("certificates reloaded")
+	}
+}
--- a/transport/identity/identity.go
+++ b/transport/identity/identity.go
@@ -7,10 +7,11 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"strings"
 	"sync/atomic"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 )
 
@@ -21,6 +22,7 @@
 const (
 	RoleInstance Role = "instance" // entry instances, towards each other
 	RoleOperator Role = "operator" // operators, towards the operators' interface
+	RoleCallers  Role = "callers"  // the callers' interface, towards callers; no peer accepts it
 )
 
 // Scheme is the scheme of the URI name that carries the role.
@@ -31,17 +33,22 @@
 
 // Files names the files of an identity.
 type Files struct {
-	Authority   string // PEM certificate of the fleet authority
+	Authority   string // PEM certificate of the fleet authority, or several while the authority is replaced
 	Certificate string // PEM certificate of this process
 	Key         string // PEM private key of this process
 }
 
-// Identity is a loaded certificate with its authority. Reload replaces both without closing connections.
+// Identity is a loaded certificate with its authority. Reload replaces both without closing connections: every handshake
+// after it, also with TLS settings made before it, uses the new files.
 type Identity struct {
-	files   Files
-	fleet   string
-	current atomic.Pointer[loaded]
-	Refused atomic.Uint64 // peers refused because of their certificate
+	Log     hclog.Logger // set before the first connection
+	Refused Refusals
+
+	files    Files
+	fleet    string
+	now      func() time.Time
+	current  atomic.Pointer[loaded]
+	refusals refusalLog
 }
 
 type loaded struct {
@@ -51,23 +58,26 @@
 
 // Load reads the files.
 func Load(fleet string, files Files) (*Identity, error) {
-	id := &Identity{files: files, fleet: fleet}
+	id := &Identity{Log: hclog.NewNullLogger(), files: files, fleet: fleet, now: time.Now}
 	return id, id.Reload()
 }
 
-// Reload reads the files again. On error the earlier certificate stays in use.
+// Reload reads the files again. On error, which names the file, the earlier certificate and authority stay in use.
 func (id *Identity) Reload() error {
-	authority, err := os.ReadFile(id.files.Authority)
+	pool, err := loadAuthorities(id.files.Authority)
 	if err != nil {
-		return errors.Wrap(err, "load fleet authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return errors.Errorf("load fleet authority: %s has no certificate", id.files.Authority)
+		return err
 	}
-	cert, err := tls.LoadX509KeyPair(id.files.Certificate, id.files.Key)
+	cert, err := loadPair(id.files.Certificate, id.files.Key, id.now())
 	if err != nil {
-		return errors.Wrapf(err, "load certificate %s", id.files.Certificate)
+		return err
+	}
+	if fleet, _, _ := roleOf(cert.Leaf); fleet != id.fleet {
+		return errors.Errorf("load certificate %s: fleet %q, want %q", id.files.Certificate, fleet, id.fleet)
+	}
+	opts := x509.VerifyOptions{Roots: pool, CurrentTime: id.now(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	if _, err := cert.Leaf.Verify(opts); err != nil {
+		return errors.Wrapf(err, "load certificate %s with authority %s", id.files.Certificate, id.files.Authority)
 	}
 	id.current.Store(&loaded{pool: pool, cert: cert})
 	return nil
@@ -75,13 +85,14 @@
 
 // Server returns TLS settings that demand a client certificate with the role.
 func (id *Identity) Server(peer Role, protocols ...string) *tls.Config {
-	base := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols}
-	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+	base := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, Time: id.now}
+	base.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
 		now := id.current.Load()
+		// Without ClientCAs a peer sends its certificate whoever issued it, so that the reason of a refusal can be counted.
 		return &tls.Config{
-			MinVersion: tls.VersionTLS13, NextProtos: protocols,
-			Certificates: []tls.Certificate{now.cert}, ClientCAs: now.pool, ClientAuth: tls.RequireAnyClientCert,
-			VerifyPeerCertificate: id.verifier(peer, x509.ExtKeyUsageClientAuth),
+			MinVersion: tls.VersionTLS13, NextProtos: protocols, Time: id.now,
+			Certificates: []tls.Certificate{now.cert}, ClientAuth: tls.RequireAnyClientCert,
+			VerifyConnection: id.verifier(peer, x509.ExtKeyUsageClientAuth, hostOf(hello.Conn)),
 		}, nil
 	}
 	return base
@@ -89,44 +100,60 @@
 
 // Client returns TLS settings that present this identity and demand a server certificate with the role.
 func (id *Identity) Client(peer Role, protocols ...string) *tls.Config {
-	now := id.current.Load()
 	return &tls.Config{
-		MinVersion: tls.VersionTLS13, NextProtos: protocols, Certificates: []tls.Certificate{now.cert},
+		MinVersion: tls.VersionTLS13, NextProtos: protocols, Time: id.now,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &id.current.Load().cert, nil },
 		// Peers are named by IP number and role; verifier checks the chain, the fleet and the role instead of a host name.
-		InsecureSkipVerify:    true,
-		VerifyPeerCertificate: id.verifier(peer, x509.ExtKeyUsageServerAuth),
+		InsecureSkipVerify: true,
+		VerifyConnection:   id.verifier(peer, x509.ExtKeyUsageServerAuth, ""),
 	}
 }
 
-// verifier checks a peer's chain, validity, fleet and role.
-func (id *Identity) verifier(want Role, usage x509.ExtKeyUsage) func([][]byte, [][]*x509.Certificate) error {
-	return func(raw [][]byte, _ [][]*x509.Certificate) error {
-		err := id.verify(raw, want, usage)
-		if err != nil {
-			id.Refused.Add(1)
+// verifier checks a peer's chain, validity, fleet and role. It is for VerifyConnection, which crypto/tls calls for resumed
+// sessions too; VerifyPeerCertificate is called on full handshakes only, so that a session from before a reload or an
+// expiry would be resumed unchecked. address is the peer's IP number, empty where this side dials.
+func (id *Identity) verifier(want Role, usage x509.ExtKeyUsage, address string) func(tls.ConnectionState) error {
+	return func(cs tls.ConnectionState) error {
+		if len(cs.PeerCertificates) == 0 {
+			id.Refused.Unknown.Add(1)
+			return errors.New("verify peer: no certificate")
+		}
+		cert := cs.PeerCertificates[0]
+		peer := peerName(cert, address)
+		reason, err := id.verify(cert, want, usage)
+		if err == nil {
+			id.refusals.accepted(id.Log, peer)
+			return nil
+		}
+		err = errors.Wrapf(err, "verify peer %s", peer)
+		id.Refused.count(reason)
+		if !id.refusals.refused(id.Log, peer, reason, err) {
+			id.Refused.Unlogged.Add(1)
 		}
 		return err
 	}
 }
 
-func (id *Identity) verify(raw [][]byte, want Role, usage x509.ExtKeyUsage) error {
-	if len(raw) == 0 {
-		return errors.New("verify peer: no certificate")
-	}
-	cert, err := x509.ParseCertificate(raw[0])
-	if err != nil {
-		return errors.Wrap(err, "verify peer")
+func (id *Identity) verify(cert *x509.Certificate, want Role, usage x509.ExtKeyUsage) (reason, error) {
+	fleet, role, ok := roleOf(cert)
+	if ok && fleet != id.fleet {
+		return wrongFleet, errors.Wrapf(ErrRole, "fleet %q, want %q", fleet, id.fleet)
 	}
-	opts := x509.VerifyOptions{Roots: id.current.Load().pool, KeyUsages: []x509.ExtKeyUsage{usage}}
+	opts := x509.VerifyOptions{Roots: id.current.Load().pool, CurrentTime: id.now(), KeyUsages: []x509.ExtKeyUsage{usage}}
 	if _, err := cert.Verify(opts); err != nil {
-		return errors.Wrapf(err, "verify peer %s", cert.Subject.CommonName)
+		var invalid x509.CertificateInvalidError
+		if errors.As(err, &invalid) && invalid.Reason == x509.Expired {
+			return expired, err
+		}
+		return unknown, err
 	}
-	fleet, role, ok := roleOf(cert)
-	if !ok || fleet != id.fleet || role != want {
-		return errors.Wrapf(ErrRole, "verify peer %s: fleet %q role %q, want fleet %q role %q",
-			cert.Subject.CommonName, fleet, role, id.fleet, want)
+	if !ok {
+		return unknown, errors.Wrap(ErrRole, "certificate names no fleet")
 	}
-	return nil
+	if role != want {
+		return wrongRole, errors.Wrapf(ErrRole, "role %q, want %q", role, want)
+	}
+	return "", nil
 }
 
 func roleOf(cert *x509.Certificate) (fleet string, role Role, ok bool) {
