fleet: wait and log once when a peer refuses the certificate

Cause: with TLS 1.3 a dialling instance takes the connection for established before the peer refuses its certificate.

Change: a connection that ended with a TLS alert counts as a failed attempt, with the usual delay and one log line.

--- a/transport/fleet/fleet_test.go
+++ b/transport/fleet/fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +54,46 @@
 	p := a.peers["b"]
 	g.Expect(p.conn.LocalAddr().String()).To(Equal(a.listener.Addr().String()))
 }
+
+// linesWith counts the log lines that have the text.
+type linesWith struct {
+	text  string
+	lines atomic.Int64
+}
+
+func (l *linesWith) Write(p []byte) (int, error) {
+	l.lines.Add(int64(strings.Count(string(p), l.text)))
+	return len(p), nil
+}
+
+// Guards against QUIC handshakes that pass by the check of the role, whose refusals are not counted, or that log a line
+// for each attempt on the side that is refused.
+func TestOtherRoleIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	authority, err := identity.CreateAuthority(folder, "f", time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out := &linesWith{text: "connection to instance lost"}
+	refused := &linesWith{text: "refused this instance's certificate"}
+	start := func(name string, role identity.Role, to *Manager) (*identity.Identity, *Manager) {
+		g.Expect(authority.Issue(folder, name, role, time.Hour)).To(Succeed())
+		id, err := identity.Load("f", identity.Files{Authority: folder + "/authority.pem", Certificate: folder + "/" + name + ".pem", Key: folder + "/" + name + ".key"})
+		g.Expect(err).NotTo(HaveOccurred())
+		m, err := New(Options{Identity: id, Listen: "127.0.0.1:0", Log: hclog.New(&hclog.LoggerOptions{Output: io.MultiWriter(out, refused)}),
+			Resolve: func(state.InstanceName) (string, bool) { return to.listener.Addr().String(), true }})
+		g.Expect(err).NotTo(HaveOccurred())
+		go m.Run(ctx, func(control.Event) error { return nil })
+		return id, m
+	}
+	id, b := start("b", identity.RoleInstance, nil)
+	_, a := start("a", identity.RoleOperator, b)
+	g.Eventually(func() uint64 {
+		a.Send(&message.Envelope{From: "a", To: "b", Body: &message.GrantRelease{Region: "r"}})
+		return id.Refused.WrongRole.Load()
+	}, 20*time.Second).Should(BeNumerically(">=", 4)) // the fourth attempt follows the end of the third
+	g.Expect(refused.lines.Load()).To(BeEquivalentTo(1))
+	g.Expect(out.lines.Load()).To(BeZero())
+	g.Expect(b.Stats.Received.Load()).To(BeZero())
+}
--- a/transport/fleet/peer.go
+++ b/transport/fleet/peer.go
@@ -30,6 +30,7 @@
 	writer  *bufio.Writer
 	address string
 	retryAt time.Time
+	refused bool // the last connection ended because the instance refused the certificate
 }
 
 // run sends until the peer has been unused for PeerIdleTimeout.
@@ -118,6 +119,12 @@
 	if p.conn != nil && p.conn.Context().Err() == nil && address == p.address {
 		return nil
 	}
+	if p.conn != nil {
+		if err := context.Cause(p.conn.Context()); certificateRefused(err) {
+			return errors.Wrapf(err, "connect to instance %s at %s", p.name, p.address)
+		}
+		p.refused = false
+	}
 	if time.Now().Before(p.retryAt) {
 		return errors.Errorf("connect to instance %s: waiting after a failed attempt", p.name)
 	}
@@ -144,7 +151,12 @@
 
 // drop closes a failed connection; the log line marks the change of state once.
 func (p *peer) drop(m *Manager, err error) {
-	if p.conn != nil {
+	switch refused := certificateRefused(err); {
+	case refused && !p.refused: // each attempt is refused in the same way until a certificate is replaced
+		m.opts.Log.Warn("instance refused this instance's certificate", "error", err)
+		p.refused = true
+	case !refused && p.conn != nil:
+		p.refused = false
 		m.opts.Log.Info("connection to instance lost", "error", err)
 	}
 	p.close()
@@ -153,6 +165,13 @@
 	}
 }
 
+// certificateRefused reports whether the other instance ended the handshake with a TLS alert. With TLS 1.3 this side takes
+// the connection for established by then.
+func certificateRefused(err error) bool {
+	var closed *quic.TransportError
+	return errors.As(err, &closed) && closed.Remote && closed.ErrorCode.IsCryptoError()
+}
+
 func (p *peer) close() {
 	if p.conn != nil {
 		_ = p.conn.CloseWithError(0, "")
