azb-ctl: issue server certificates for callers

Cause: keys could not put IP addresses into a certificate, so that callers refused it. Change: --ip, and the role "callers", which no instance accepts from a peer, so that the key of the callers' interface is no fleet identity.

--- a/cmd/azb-ctl/keys.go
+++ b/cmd/azb-ctl/keys.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -16,8 +18,9 @@
 type keysCmd struct {
 	Folder   string        `help:"Folder of the authority and the certificates." required:"" type:"path"`
 	Fleet    string        `help:"Name of the fleet." required:""`
-	Role     string        `help:"Role of the certificates." enum:"instance,operator" default:"instance"`
+	Role     string        `help:"Role of the certificates." enum:"instance,operator,callers" default:"instance"`
 	Lifetime time.Duration `help:"How long the certificates are valid." default:"8760h"`
+	IP       []netip.Addr  `help:"IP addresses that callers reach the certificate's holder at (role callers)."`
 	Names    []string      `arg:"" help:"Names to make certificates for."`
 }
 
@@ -33,8 +36,12 @@
 	if err != nil {
 		return err
 	}
+	ips := make([]net.IP, len(k.IP))
+	for i, ip := range k.IP {
+		ips[i] = ip.AsSlice()
+	}
 	for _, name := range k.Names {
-		if err := a.Issue(k.Folder, name, identity.Role(k.Role), k.Lifetime); err != nil {
+		if err := a.Issue(k.Folder, name, identity.Role(k.Role), k.Lifetime, ips...); err != nil {
 			return err
 		}
 	}
--- a/cmd/azb-ctl/main_test.go
+++ b/cmd/azb-ctl/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"os"
 	"path/filepath"
 	"testing"
@@ -50,3 +52,21 @@
 	g.Expect(exitCode(errors.Wrap(platform.ErrUnavailable, "step"))).To(Equal(exitFailed))
 	g.Expect(exitCode(&platform.ConflictError{})).To(Equal(exitConflict))
 }
+
+// Guards against server certificates that callers refuse because the IP address is missing.
+func TestKeysForCallers(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	var out, errOut bytes.Buffer
+	g.Expect(run([]string{"keys", "--folder", dir, "--fleet", "f", "--role", "callers", "--ip", "127.0.0.1", "--ip", "::1", "web"}, newPrinter(&out, &errOut))).To(Equal(0), errOut.String())
+	pair, err := tls.LoadX509KeyPair(filepath.Join(dir, "web.pem"), filepath.Join(dir, "web.key"))
+	g.Expect(err).NotTo(HaveOccurred())
+	authority, err := os.ReadFile(filepath.Join(dir, "authority.pem"))
+	g.Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	g.Expect(pool.AppendCertsFromPEM(authority)).To(BeTrue())
+	for _, ip := range []string{"127.0.0.1", "::1"} {
+		_, err := pair.Leaf.Verify(x509.VerifyOptions{Roots: pool, DNSName: "[" + ip + "]", KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
