--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true})
-	id, err := identity.Load(cfg.Fleet, identity.Files(cfg.TLS))
+	id, served, err := loadCertificates(cfg, log)
 	if err != nil {
 		return err
 	}
@@ -91,14 +91,16 @@
 	backends := backend.New(backend.DialFrom(cfg.Callers.Addr()))
 	ed := edge.New(edge.Options{Control: loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Log: log.Named("edge"), Observe: rec})
 	ops.Observe(operators.Observed{Recorder: rec, Metrics: observe.Registry(map[string]any{
-		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "observe": &rec.Stats,
+		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "identity.refused": &id.Refused, "observe": &rec.Stats,
 		"control.dropped": &loop.Dropped,
 	})})
-	return serve(ctx, cfg, ed, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, log)
+	callers := ed.Server()
+	reload := useServed(callers, served, id)
+	return serve(ctx, cfg, ed, callers, operatorServer(ops, id, log), loop, ops, reload, log)
 }
 
 // serve runs the HTTP servers until a signal, then stops without cutting requests in flight.
-func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, log hclog.Logger) error {
+func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, reload []identity.Reloader, log hclog.Logger) error {
 	callersLn, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -108,21 +110,24 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- errors.Wrap(callers.Serve(callersLn), "serve callers") }()
+	go func() { failed <- errors.Wrap(serveCallers(callers, callersLn), "serve callers") }()
 	go func() { failed <- errors.Wrap(admin.ServeTLS(adminLn, "", ""), "serve operators") }()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	log.Info("entry instance started", "callers", cfg.Callers, "fleet", cfg.Fleetwork, "operators", cfg.Operators)
 	for {
 		select {
 		case err := <-failed:
 			return err
 		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
+			switch sig {
+			case syscall.SIGUSR1:
 				writeDump(ctx, ops, log)
-				continue
+			case syscall.SIGHUP:
+				identity.ReloadAll(log, reload...)
+			default:
+				return stop(ctx, cfg, ed, callers, loop, log)
 			}
-			return stop(ctx, cfg, ed, callers, loop, log)
 		}
 	}
 }
--- /dev/null
+++ b/cmd/azb-entry/tls.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"azurebridge/protocol/settings"
+	"azurebridge/transport/identity"
+	"azurebridge/transport/operators"
+)
+
+// loadCertificates returns the fleet identity and the callers' server certificate, which is nil without the section
+// callers_tls.
+func loadCertificates(cfg *settings.Entry, log hclog.Logger) (*identity.Identity, *identity.Served, error) {
+	id, err := identity.Load(cfg.Fleet, identity.Files(cfg.TLS))
+	if err != nil {
+		return nil, nil, err
+	}
+	id.Log = log.Named("identity")
+	if cfg.CallersTLS.Certificate == "" {
+		return id, nil, nil
+	}
+	served, err := identity.LoadServed(cfg.CallersTLS.Certificate, cfg.CallersTLS.Key)
+	return id, served, err
+}
+
+// serveCallers serves HTTPS where the server has a certificate, plain HTTP otherwise.
+func serveCallers(s *http.Server, ln net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(ln, "", "")
+	}
+	return s.Serve(ln)
+}
+
+// useServed makes the callers' server use the certificate, if there is one, and returns what SIGHUP reloads.
+func useServed(callers *http.Server, served *identity.Served, id *identity.Identity) []identity.Reloader {
+	if served == nil {
+		return []identity.Reloader{id}
+	}
+	callers.TLSConfig = served.Config()
+	return []identity.Reloader{id, served}
+}
+
+func operatorServer(ops *operators.Manager, id *identity.Identity, log hclog.Logger) *http.Server {
+	return &http.Server{
+		Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second,
+		// net/http logs each failed handshake; identity counts refused certificates and logs changes of state.
+		ErrorLog: log.Named("operators").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
--- a/protocol/settings/entry.go
+++ b/protocol/settings/entry.go
@@ -20,11 +20,14 @@
 	Operators netip.AddrPort // operators' interface
 	Platform  netip.AddrPort // the platform's store and list of instances
 	TLS       TLS
-	MaxBody   int64
-	MaxHeader int
-	StopGrace time.Duration // longest wait for requests in flight at a planned stop; 0 means no limit
-	LogLevel  string
-	Trial     Trial
+	// CallersTLS names the server certificate of the callers' interface. Without the section it is empty and callers use
+	// plain HTTP.
+	CallersTLS CallersTLS
+	MaxBody    int64
+	MaxHeader  int
+	StopGrace  time.Duration // longest wait for requests in flight at a planned stop; 0 means no limit
+	LogLevel   string
+	Trial      Trial
 }
 
 // TLS names the identity files of a process.
@@ -34,6 +37,12 @@
 	Key         string
 }
 
+// CallersTLS names the files of a server certificate for callers.
+type CallersTLS struct {
+	Certificate string // PEM, followed by its chain where there is one
+	Key         string
+}
+
 // Trial adds network delay for trials on one machine. It is off unless the section is there.
 type Trial struct {
 	Enabled     bool
@@ -68,6 +77,9 @@
 	s = f.Section("platform")
 	e.Platform = s.HostPort("address")
 	e.TLS = readTLS(f)
+	if s := f.Section("callers_tls"); s.Present() {
+		e.CallersTLS = CallersTLS{Certificate: s.Required("certificate"), Key: s.Required("key")}
+	}
 	s = f.Section("limits")
 	e.MaxBody = int64(s.Int("max_body_bytes", 64<<20, 0, maxBodyLimit))
 	e.MaxHeader = s.Int("max_header_bytes", 16<<10, 1<<10, maxHeaderLimit)
--- a/protocol/settings/load_test.go
+++ b/protocol/settings/load_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -32,3 +33,23 @@
 	g.Expect(l.Faults).To(HaveLen(1))
 	g.Expect(l.Faults[0].JSON).To(Equal(fault))
 }
+
+// Guards against a section callers_tls that is read in part, or that callers' plain HTTP needs.
+func TestCallersTLS(t *testing.T) {
+	g := NewWithT(t)
+	path := t.TempDir() + "/entry.ini"
+	read := func(section string) (*Entry, error) {
+		const rest = "[instance]\nname = a\nfleet = f\nregion = r\ndomain = d\n[listen]\ncallers = 127.0.0.1:1\nfleet = 127.0.0.1:2\n" +
+			"operators = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n[tls]\nauthority = x\ncertificate = y\nkey = z\n"
+		g.Expect(os.WriteFile(path, []byte(rest+section), 0o600)).To(Succeed())
+		return LoadEntry(path)
+	}
+	e, err := read("")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.CallersTLS).To(BeZero())
+	e, err = read("[callers_tls]\ncertificate = c\nkey = k\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e.CallersTLS).To(Equal(CallersTLS{Certificate: "c", Key: "k"}))
+	_, err = read("[callers_tls]\ncertificate = c\n")
+	g.Expect(err).To(MatchError(ContainSubstring("[callers_tls] key")))
+}
