--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -42,7 +42,7 @@
 	if err := known.load(); err != nil {
 		return err
 	}
-	id, err := identity.Load(cfg.Fleet, identity.Files(cfg.TLS))
+	id, served, err := loadCertificates(cfg, log)
 	if err != nil {
 		return err
 	}
@@ -95,14 +95,20 @@
 	backends := backend.New(backend.DialFrom(cfg.Callers.Addr()))
 	ed := edge.New(edge.Options{Control: loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Blocks: known.current.Load, Log: log.Named("edge"), Observe: rec})
 	ops.Observe(operators.Observed{Recorder: rec, Metrics: observe.Registry(map[string]any{
-		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "observe": &rec.Stats,
+		"edge": &ed.Stats, "backend": &backends.Counters, "fleet": &fl.Stats, "platform": &client.Calls, "identity.refused": &id.Refused, "observe": &rec.Stats,
 		"control.dropped": &loop.Dropped,
 	})})
-	return serve(ctx, cfg, ed, ed.Server(), &http.Server{Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second}, loop, ops, known, log)
+	callers := ed.Server()
+	certificates := useServed(callers, served, id)
+	reload := func() {
+		identity.ReloadAll(log, certificates...)
+		known.reload(log)
+	}
+	return serve(ctx, cfg, ed, callers, operatorServer(ops, id, log), loop, ops, reload, log)
 }
 
 // serve runs the HTTP servers until a signal, then stops without cutting requests in flight.
-func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, known *clientBlocks, log hclog.Logger) error {
+func serve(ctx context.Context, cfg *settings.Entry, ed *edge.Manager, callers, admin *http.Server, loop *control.Loop, ops *operators.Manager, reload func(), log hclog.Logger) error {
 	callersLn, err := net.Listen("tcp", cfg.Callers.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -112,7 +118,7 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- errors.Wrap(callers.Serve(callersLn), "serve callers") }()
+	go func() { failed <- errors.Wrap(serveCallers(callers, callersLn), "serve callers") }()
 	go func() { failed <- errors.Wrap(admin.ServeTLS(adminLn, "", ""), "serve operators") }()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
@@ -126,7 +132,7 @@
 			case syscall.SIGUSR1:
 				writeDump(ctx, ops, log)
 			case syscall.SIGHUP:
-				known.reload(log)
+				reload()
 			default:
 				return stop(ctx, cfg, ed, callers, loop, log)
 			}
