azb-entry: give memory back after client blocks are read

GOMEMLIMIT=26MiB was tried and ruled out: the collector then used 31% of a core. BenchmarkSize prints the table for 10 thousand to 1.8 million blocks.

--- a/cmd/azb-entry/blocks.go
+++ b/cmd/azb-entry/blocks.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,6 +26,7 @@
 		return err
 	}
 	b.current.Store(r)
+	debug.FreeOSMemory() // reading makes more garbage than the table is large, and the earlier table is garbage now
 	return nil
 }
 
--- a/state/blocks/blocks_test.go
+++ b/state/blocks/blocks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -80,10 +81,13 @@
 // TargetBlocks is the number of client blocks at the target size.
 const targetBlocks = 1_800_000
 
-func targetTable(tb testing.TB) *Table {
+func targetTable(tb testing.TB) *Table { return tableOf(tb, targetBlocks) }
+
+// tableOf returns a table of n blocks that are spread evenly, with a gap after each.
+func tableOf(tb testing.TB, n int) *Table {
 	r := rand.New(rand.NewPCG(1, 2))
-	blocks := make([]Block, targetBlocks)
-	step := uint32((1 << 32) / targetBlocks)
+	blocks := make([]Block, n)
+	step := uint32((1 << 32) / n)
 	for i := range blocks {
 		var b [4]byte
 		binary.BigEndian.PutUint32(b[:], uint32(i)*step)
@@ -116,6 +120,20 @@
 	b.ReportMetric(float64(t.Len()), "ranges")
 }
 
+// BenchmarkSize reports the memory and the time of a look-up for tables of several sizes.
+func BenchmarkSize(b *testing.B) {
+	for _, n := range []int{10_000, 100_000, 500_000, 1_000_000, targetBlocks} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t, seed, sum := tableOf(b, n), uint32(3), Site(0)
+			for b.Loop() {
+				sum += t.Lookup(address(&seed))
+			}
+			_ = sum
+			b.ReportMetric(float64(t.Bytes())/1e6, "table-MB")
+		})
+	}
+}
+
 // BenchmarkSingleLookup times each look-up alone and reports percentiles less the median cost of reading the clock:
 // for addresses from the whole table, which miss the processor's caches, and from a sixteenth of it.
 func BenchmarkSingleLookup(b *testing.B) {
