--- /dev/null
+++ b/cmd/azb-entry/instance.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"azurebridge/coordination/control"
+	"azurebridge/protocol/settings"
+	"azurebridge/state"
+	"azurebridge/transport/backend"
+	"azurebridge/transport/edge"
+	"azurebridge/transport/fleet"
+	"azurebridge/transport/identity"
+	"azurebridge/transport/observe"
+	"azurebridge/transport/operators"
+	"azurebridge/transport/platform"
+)
+
+// instance holds the parts of one entry instance.
+type instance struct {
+	cfg       *settings.Entry
+	log       hclog.Logger
+	blocks    *clientBlocks
+	identity  *identity.Identity
+	fleet     *fleet.Manager
+	loop      *control.Loop
+	edge      *edge.Manager
+	operators *operators.Manager
+	callers   *http.Server
+	admin     *http.Server
+	reloaders []identity.Reloader         // of certificates
+	runners   []func(ctx context.Context) // of workers, each on a goroutine of its own
+}
+
+// newInstance wires the parts. Nothing runs before start.
+func newInstance(cfg *settings.Entry, log hclog.Logger) (*instance, error) {
+	in := &instance{cfg: cfg, log: log, blocks: &clientBlocks{file: cfg.Blocks}}
+	if err := in.blocks.load(); err != nil {
+		return nil, err
+	}
+	id, served, err := loadCertificates(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	in.identity = id
+	if err := in.wireControl(); err != nil {
+		return nil, err
+	}
+	client := platform.New(cfg.Platform.String())
+	in.wireWorkers(client)
+	recorder := observe.New(in.loop.Now, in.loop.Snapshot)
+	in.loop.SetReportSource(recorder)
+	in.runners = append(in.runners, recorder.Run)
+	if in.operators, err = operators.New(in.loop, platform.NewConfigStore(client)); err != nil {
+		return nil, err
+	}
+	in.wireEdge(client, recorder)
+	in.callers = in.edge.Server()
+	in.reloaders = useServed(in.callers, served, id)
+	in.admin = operatorServer(in.operators, id, log)
+	return in, nil
+}
+
+// wireControl makes the control loop and the fleet transport, which need each other.
+func (in *instance) wireControl() error {
+	cfg := in.cfg
+	self := state.Instance{
+		Name: cfg.Name, Incarnation: state.NewIncarnation(time.Now()), Region: cfg.Region, Domain: cfg.Domain,
+		CallerAddress: cfg.Callers.String(), FleetAddress: cfg.FleetListen.String(),
+		OperatorsAddress: cfg.Operators.String(), Status: state.InstanceLive,
+	}
+	snapshot := func() *state.Snapshot {
+		if in.loop == nil { // a message of the first Ready, within NewLoop
+			return &state.Snapshot{}
+		}
+		return in.loop.Snapshot()
+	}
+	var err error
+	in.fleet, err = fleet.New(fleet.Options{
+		Identity: in.identity, Listen: cfg.FleetListen.String(), Log: in.log.Named("fleet"),
+		Delay:   trialDelay(cfg, snapshot),
+		Resolve: func(n state.InstanceName) (string, bool) { return snapshot().FleetAddress(n) },
+	})
+	if err != nil {
+		return err
+	}
+	in.loop = control.NewLoop(control.NewCore(self), state.MonotonicClock(), in.fleet)
+	in.runners = append(in.runners, in.loop.Run, func(ctx context.Context) { in.fleet.Run(ctx, in.loop.Offer) })
+	return nil
+}
+
+// wireWorkers makes the transport workers that carry out the work of the control goroutine.
+func (in *instance) wireWorkers(client *platform.Client) {
+	revision := func() state.Revision { return in.loop.Snapshot().Config.Revision }
+	feed := platform.NewFeed(client, in.loop.Offer, revision, in.log.Named("platform"))
+	in.loop.SetConfigWorker(feed)
+	claimLog := platform.NewClaimLog(client, in.loop.Offer, in.log.Named("claims"))
+	in.loop.UseClaimStore(claimLog)
+	worker := platform.NewWorker(client, in.loop.Offer)
+	in.loop.UseStore(worker)
+	prober := fleet.NewProber(in.loop.Offer)
+	in.loop.UseProber(prober)
+	in.runners = append(in.runners, claimLog.Run, worker.Run, prober.Run, feed.DecodeConfigs, feed.WatchConfig, feed.WatchInstances)
+}
+
+// wireEdge makes the callers' interface and registers the instance's counters.
+func (in *instance) wireEdge(client *platform.Client, recorder *observe.Recorder) {
+	cfg := in.cfg
+	backends := backend.New(backend.DialFrom(cfg.Callers.Addr()))
+	in.edge = edge.New(edge.Options{
+		Control: in.loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Blocks: in.blocks.current.Load,
+		Log: in.log.Named("edge"), Observe: recorder,
+	})
+	in.operators.Observe(operators.Observed{Recorder: recorder, Metrics: observe.Registry(map[string]any{
+		"edge": &in.edge.Stats, "backend": &backends.Counters, "fleet": &in.fleet.Stats, "platform": &client.Calls,
+		"identity.refused": &in.identity.Refused, "observe": &recorder.Stats, "control.dropped": &in.loop.Dropped,
+	})})
+}
+
+// start runs the workers until ctx ends.
+func (in *instance) start(ctx context.Context) {
+	for _, run := range in.runners {
+		go run(ctx)
+	}
+}
+
+// reload reads certificates and client blocks again.
+func (in *instance) reload() {
+	identity.ReloadAll(in.log, in.reloaders...)
+	in.blocks.reload(in.log)
+}
--- a/protocol/settings/entry.go
+++ b/protocol/settings/entry.go
@@ -16,7 +16,7 @@
 	Region    state.RegionName
 	Domain    state.DomainName
 	Callers   netip.AddrPort // callers' interface
-	Fleetwork netip.AddrPort // QUIC, other instances
+	FleetListen netip.AddrPort // QUIC, other instances
 	Operators netip.AddrPort // operators' interface
 	Platform  netip.AddrPort // the platform's store and list of instances
 	TLS       TLS
@@ -73,7 +73,7 @@
 	e.Domain = state.DomainName(s.Required("domain"))
 	s = f.Section("listen")
 	e.Callers = s.HostPort("callers")
-	e.Fleetwork = s.HostPort("fleet")
+	e.FleetListen = s.HostPort("fleet")
 	e.Operators = s.HostPort("operators")
 	s = f.Section("platform")
 	e.Platform = s.HostPort("address")
