--- a/scripts/experiments/2-caps.sh
+++ b/scripts/experiments/2-caps.sh
@@ -5,9 +5,11 @@
 cd "$(dirname "$0")/../.."
 source scripts/experiments/lib.sh
 
+limit=${REGION_LIMIT:-50}
+
 # The limit of a region is less than the search and submission slots of mazowsze and malopolska (62), so that it binds there.
 adjust() {
-  sed -i 's/^rate = 4Gbit\/s/rate = 100Mbit\/s/; s/^rate = 40Mbit\/s/rate = 10Mbit\/s/; s/^max_running = 76/max_running = 50/' \
+  sed -i 's/^rate = 4Gbit\/s/rate = 100Mbit\/s/; s/^rate = 40Mbit\/s/rate = 10Mbit\/s/; s/^max_running = 76/max_running = '"$limit"/ \
     "$out/deployment.ini"
 }
 
@@ -34,11 +36,11 @@
 window 8
 load_wait "overload: "
 for region in mazowsze malopolska pomorze; do
-  figure info "overload: peak running of 50 in $region" \
+  figure info "overload: peak running of $limit in $region" \
     "$(jq --arg n $region '.regions[] | select(.name == $n).peak' "$out/after.json")" "" -
 done
 for region in mazowsze malopolska; do
-  figure target "overload: use of the limit of $region" "$(jq -n "$(mean regions $region) / 50 * 1000 | round / 10")" % ">=" 90
+  figure target "overload: use of the limit of $region" "$(jq -n "$(mean regions $region) / $limit * 1000 | round / 10")" % ">=" 90
 done
 figure info "overload: requests that ended unknown or failed" "$(report '.unknown + .failed')" "" -
 figure info "overload: grants whose lease ended at a live instance" "$(sum_stats .Holder.Fenced 1 20)" "" -
