--- a/scripts/experiments/lib.sh
+++ b/scripts/experiments/lib.sh
@@ -124,7 +124,7 @@
   for name in "$@"; do
     echo "$(now) $sig $name" >>"$out/events.txt"
     if runs "${INSTANCE_PID[$name]}"; then kill "-$sig" "${INSTANCE_PID[$name]}"; fi
-  done
+  done 2>/dev/null # the shell's notices of killed jobs
   if [[ $sig == KILL ]]; then
     for name in "$@"; do wait "${INSTANCE_PID[$name]}" 2>/dev/null || true; done
   fi
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -65,12 +65,14 @@
 stop_all() {
   local pid running
   running=$(jobs -pr)
-  for pid in "${PIDS[@]}"; do
-    if grep -qx "$pid" <<<"$running"; then kill -KILL "$pid" 2>/dev/null || true; fi
-  done
-  for pid in "${PIDS[@]}"; do
-    wait "$pid" 2>/dev/null || true
-  done
+  { # without the shell's notices of killed jobs
+    for pid in "${PIDS[@]}"; do
+      if grep -qx "$pid" <<<"$running"; then kill -KILL "$pid" 2>/dev/null || true; fi
+    done
+    for pid in "${PIDS[@]}"; do
+      wait "$pid" 2>/dev/null || true
+    done
+  } 2>/dev/null
   PIDS=()
 }
 
