--- a/protocol/settings/entry.go
+++ b/protocol/settings/entry.go
@@ -11,15 +11,15 @@
 
 // Entry is the settings of azb-entry.
 type Entry struct {
-	Name      state.InstanceName
-	Fleet     string
-	Region    state.RegionName
-	Domain    state.DomainName
-	Callers   netip.AddrPort // callers' interface
+	Name        state.InstanceName
+	Fleet       string
+	Region      state.RegionName
+	Domain      state.DomainName
+	Callers     netip.AddrPort // callers' interface
 	FleetListen netip.AddrPort // QUIC, other instances
-	Operators netip.AddrPort // operators' interface
-	Platform  netip.AddrPort // the platform's store and list of instances
-	TLS       TLS
+	Operators   netip.AddrPort // operators' interface
+	Platform    netip.AddrPort // the platform's store and list of instances
+	TLS         TLS
 	// CallersTLS names the server certificate of the callers' interface. Without the section it is empty and callers use
 	// plain HTTP.
 	CallersTLS CallersTLS
