--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,22 @@
+// Package wait lets a goroutine sleep until a time has passed or its work is cancelled.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For sleeps for d. It returns false when ctx ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/transport/load/faults.go
+++ b/transport/load/faults.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/settings"
 	"azurebridge/transport/standin"
 )
@@ -41,7 +42,7 @@
 
 // inject switches one fault on, and off unless its end is not set or after the load.
 func (r *Runner) inject(ctx context.Context, f *settings.ScheduledFault) error {
-	if f.At > r.cfg.Duration || !wait(ctx, f.At) {
+	if f.At > r.cfg.Duration || !wait.For(ctx, f.At) {
 		return nil
 	}
 	var added standin.Fault
@@ -52,7 +53,7 @@
 	if f.Until <= f.At {
 		return nil
 	}
-	wait(ctx, f.Until-f.At)
+	wait.For(ctx, f.Until-f.At)
 	err := r.control(context.WithoutCancel(ctx), http.MethodDelete, standin.PathFaults+"/"+added.ID, "", nil)
 	r.log.Info("fault off", "name", f.Name, "id", added.ID)
 	return err
--- a/transport/load/paced.go
+++ b/transport/load/paced.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"azurebridge/internal/wait"
 )
 
 // pacedBody reads a body at a rate, as a client with a narrow connection does.
@@ -18,7 +20,7 @@
 // Read implements io.Reader. It waits before a read that would be ahead of the rate.
 func (p *pacedBody) Read(b []byte) (int, error) {
 	due := p.begin.Add(time.Duration(float64(p.read) / float64(p.rate) * float64(time.Second)))
-	if !wait(p.ctx, time.Until(due)) {
+	if !wait.For(p.ctx, time.Until(due)) {
 		return 0, p.ctx.Err()
 	}
 	n, err := p.ReadCloser.Read(b)
--- a/transport/load/ready.go
+++ b/transport/load/ready.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/callers"
 	"azurebridge/protocol/settings"
 	"azurebridge/protocol/storeapi"
@@ -29,7 +30,7 @@
 		if err == nil {
 			return nil
 		}
-		if !wait(ctx, readyInterval) {
+		if !wait.For(ctx, readyInterval) {
 			return errors.Wrapf(err, "not ready after %s", bound)
 		}
 	}
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/settings"
 	"azurebridge/transport/standin"
 )
@@ -126,7 +127,7 @@
 	next := time.Duration(0)
 	for n := uint64(0); ; n++ {
 		next += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-		if next > r.cfg.Duration || !wait(ctx, time.Until(begin.Add(next))) {
+		if next > r.cfg.Duration || !wait.For(ctx, time.Until(begin.Add(next))) {
 			return
 		}
 		o := r.order(line, customer, region, n, random)
@@ -176,7 +177,7 @@
 
 // repeat sends a submission again with the same key through another entry instance, while or after the first runs.
 func (r *Runner) repeat(ctx context.Context, o order, delay time.Duration) {
-	if !wait(ctx, delay) {
+	if !wait.For(ctx, delay) {
 		return
 	}
 	select {
--- a/transport/load/send.go
+++ b/transport/load/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/callers"
 	"azurebridge/protocol/settings"
 	"azurebridge/transport/standin"
@@ -94,7 +95,7 @@
 		if !last.again || ctx.Err() != nil {
 			break
 		}
-		if !wait(ctx, min(max(last.after, time.Duration(n)*retryStep), MaxRetryAfter)) {
+		if !wait.For(ctx, min(max(last.after, time.Duration(n)*retryStep), MaxRetryAfter)) {
 			break
 		}
 	}
@@ -211,7 +212,7 @@
 	if o.line.Deadline > 0 {
 		req.Header.Set(callers.HeaderDeadline, strconv.FormatInt(o.line.Deadline.Milliseconds(), 10))
 	}
-	if !wait(req.Context(), s.rtt) {
+	if !wait.For(req.Context(), s.rtt) {
 		return nil, &net.OpError{Op: "dial", Err: req.Context().Err()}
 	}
 	resp, err := s.http.Transport.RoundTrip(req)
@@ -240,18 +241,3 @@
 	}
 	return a
 }
-
-// wait returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/platform/claimlog.go
+++ b/transport/platform/claimlog.go
@@ -14,6 +14,7 @@
 
 	"azurebridge/coordination/claims"
 	"azurebridge/coordination/control"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/storeapi"
 	"azurebridge/protocol/wire"
 )
@@ -69,7 +70,7 @@
 			r.ID, r.Shard = op.ID, op.Shard
 			// A lost result would leave the shard waiting, so a full control queue is tried again.
 			for l.offer(control.StoreDone{Result: r}) != nil && ctx.Err() == nil {
-				sleep(ctx, resultRetry)
+				wait.For(ctx, resultRetry)
 			}
 		}
 	}
--- a/transport/platform/configstore.go
+++ b/transport/platform/configstore.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/rollout"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/configcodec"
 	"azurebridge/protocol/storeapi"
 	"azurebridge/state"
@@ -31,11 +32,11 @@
 // ConfigStore reads and accepts configurations in the store.
 type ConfigStore struct {
 	kv    KV
-	pause func(context.Context, time.Duration)
+	pause func(context.Context, time.Duration) bool // wait.For
 }
 
 // NewConfigStore returns a ConfigStore on the store.
-func NewConfigStore(kv KV) *ConfigStore { return &ConfigStore{kv: kv, pause: sleep} }
+func NewConfigStore(kv KV) *ConfigStore { return &ConfigStore{kv: kv, pause: wait.For} }
 
 // ErrReplaced is the cause when a later revision replaced a configuration while it was read.
 var ErrReplaced = errors.New("a later configuration has replaced it")
--- a/transport/platform/configstore_test.go
+++ b/transport/platform/configstore_test.go
@@ -65,10 +65,11 @@
 
 // newTestStore returns a ConfigStore that does not wait. giveUp, if not nil, ends the apply at its first wait.
 func newTestStore(kv KV, giveUp context.CancelFunc) *ConfigStore {
-	return &ConfigStore{kv: kv, pause: func(context.Context, time.Duration) {
+	return &ConfigStore{kv: kv, pause: func(context.Context, time.Duration) bool {
 		if giveUp != nil {
 			giveUp()
 		}
+		return giveUp == nil
 	}}
 }
 
--- a/transport/platform/feed.go
+++ b/transport/platform/feed.go
@@ -9,6 +9,7 @@
 
 	"azurebridge/coordination/control"
 	"azurebridge/coordination/rollout"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/configcodec"
 	"azurebridge/protocol/storeapi"
 	"azurebridge/state"
@@ -111,7 +112,7 @@
 
 // readOnce reads the configuration at the start. It gives up once an instance has sent one.
 func (f *Feed) readOnce(ctx context.Context) {
-	for wait := RetryInterval; ctx.Err() == nil; wait = min(2*wait, MaxStartRetry) {
+	for delay := RetryInterval; ctx.Err() == nil; delay = min(2*delay, MaxStartRetry) {
 		h, _, err := f.store.Head(ctx)
 		if err == nil {
 			err = f.load(ctx, h)
@@ -119,7 +120,7 @@
 		if err == nil || f.revision() > 0 || f.watching.Load() {
 			return
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, delay)
 	}
 }
 
@@ -137,7 +138,7 @@
 				f.log.Warn("configuration watch failed", "error", err)
 			}
 			healthy = false
-			sleep(ctx, RetryInterval)
+			wait.For(ctx, RetryInterval)
 			continue
 		}
 		if !healthy {
@@ -170,13 +171,13 @@
 
 // WatchInstances passes on the list of instances until ctx ends.
 func (f *Feed) WatchInstances(ctx context.Context) {
-	wait := firstListRetries
+	delay := firstListRetries
 	for ctx.Err() == nil {
 		list, err := f.client.Instances(ctx)
 		if err == nil && f.offer(control.Listed{Instances: convert(list)}) == nil {
-			wait = ListInterval
+			delay = ListInterval
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, delay)
 	}
 }
 
@@ -194,12 +195,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/transport/standin/backend.go
+++ b/transport/standin/backend.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/callers"
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
@@ -124,7 +125,7 @@
 	case from.domain != string(b.server.Domain):
 		d = b.env.settings.DomainRTT / 2
 	}
-	return sleep(r.Context(), d)
+	return wait.For(r.Context(), d)
 }
 
 // slot is a request's use of a slot.
@@ -180,7 +181,7 @@
 	if f, ok := b.env.faults.Hit(Slow, b.target); ok {
 		work = time.Duration(float64(work) * f.Factor)
 	}
-	if sleep(r.Context(), work) {
+	if wait.For(r.Context(), work) {
 		return true
 	}
 	if r.Context().Err() == context.DeadlineExceeded {
@@ -227,7 +228,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if !sleep(r.Context(), b.env.settings.ProbeCost) {
+	if !wait.For(r.Context(), b.env.settings.ProbeCost) {
 		return
 	}
 	running := b.running.Load()
--- a/transport/standin/platform.go
+++ b/transport/standin/platform.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/settings"
 	"azurebridge/protocol/storeapi"
 )
@@ -97,7 +98,7 @@
 		return false
 	}
 	if f, ok := p.faults.Hit(StoreSlow, Target{}); ok {
-		return sleep(r.Context(), time.Duration(f.DelayMs)*time.Millisecond)
+		return wait.For(r.Context(), time.Duration(f.DelayMs)*time.Millisecond)
 	}
 	return true
 }
--- a/transport/standin/standin.go
+++ b/transport/standin/standin.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -219,18 +218,3 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
-
-// sleep waits for d; it returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
