load, edge: repeat a keyed submission while an earlier request with its key runs

Cause: 0.5% of submissions ended unknown without a fault. A repeat that came while the first request still ran got 409, outcome unknown, and azb-load gave up on every 4xx. Ruled out: fenced grants and requests without proof (both 0). Change: the 409 carries Retry-After; azb-load repeats it.

--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -292,7 +292,7 @@
 		m.Stats.Unknown.Add(1)
 		p.Status, p.Reason, p.Outcome = http.StatusConflict, "outcome_unknown", callers.OutcomeUnknown
 		p.Detail = "an earlier attempt with this key was sent and its outcome is not known"
-		callers.WriteProblem(w, p, 0)
+		callers.WriteProblem(w, p, time.Second) // it may still run, and its outcome be recorded soon
 		return
 	case message.ClaimMismatch:
 		m.Stats.Malformed.Add(1)
--- a/transport/load/send.go
+++ b/transport/load/send.go
@@ -236,7 +236,9 @@
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		a.after = time.Duration(seconds) * time.Second
 	}
-	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests {
+	// 409 tells that an earlier request with the same key has not ended; the caller repeats until it has.
+	pending := resp.StatusCode == http.StatusConflict && outcome == callers.OutcomeUnknown
+	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests && !pending {
 		a.again = false // the request itself is at fault
 	}
 	return a
