admission, backend: keep links under their rate in windows of 100 ms

Ruled out: missing reservations or pacing (mean use 94 to 95% of the rate). Change: the receive buffer of a paced body holds what its rate needs for 50 ms, 8% of a link is not reserved, and the stand-in's send buffer, whose content counts as carried, is 16 KB.

--- a/coordination/admission/limits.go
+++ b/coordination/admission/limits.go
@@ -13,6 +13,10 @@
 	maxAfter = 10 * time.Second
 )
 
+// linkUsable is the part of a link's capacity that is reserved. The rest takes the uneven parts of the bodies: the start of
+// an answer fills the buffers on its way faster than the reserved rate.
+const linkUsable = 0.92
+
 // link is the rate reserved on the link from this region to another.
 type link struct {
 	to       state.RegionName
@@ -21,7 +25,11 @@
 }
 
 func (l *link) hasRoom(rate int64) bool {
-	return l == nil || l.capacity == 0 || l.reserved+rate <= l.capacity
+	if l == nil || l.capacity == 0 {
+		return true
+	}
+	alone := l.reserved == 0 && rate <= l.capacity // otherwise a body as fast as the link could never run
+	return alone || float64(l.reserved+rate) <= float64(l.capacity)*linkUsable
 }
 
 // shift is the use of an operator's shift into this region.
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -30,6 +30,10 @@
 	MaxIdlePerServer  = 8        // connections
 	MaxResponseHeader = 64 << 10 // bytes
 	readBuffer        = 16 << 10 // bytes per connection
+	// MinReceive and RoundTrip bound the kernel's receive buffer of a paced body: the buffer must hold what is sent
+	// during a round trip between regions, 35 ms at most.
+	MinReceive = 32 << 10 // bytes
+	RoundTrip  = 50 * time.Millisecond
 )
 
 // Proof says what is known about a request that got no answer to pass on.
@@ -84,6 +88,9 @@
 	// Once forbids anything that could run the request twice. It uses a fresh connection, because a pooled one may
 	// have gone silent, which would leave the outcome unknown.
 	Once bool
+	// Rate is the rate in bytes per second at which the body will be read; 0 means no limit. It bounds the kernel's
+	// receive buffer, because what the buffer holds crosses the link at once, whatever rate is reserved.
+	Rate int64
 	// Cancel cancels the context that is passed to Do. The caller of Do calls it after the answer; Do calls it with
 	// ErrFirstByte. When it is nil, Do makes a context of its own, which ends when the body is closed.
 	Cancel context.CancelCauseFunc
@@ -111,7 +118,10 @@
 	cancel := call.Cancel
 	var connected atomic.Bool
 	req := call.Request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			boundReceive(info.Conn, call.Rate)
+		},
 	}))
 	req.URL.Scheme, req.URL.Host = "http", call.Server.Address.String()
 	transport := c.pooled
@@ -149,6 +159,16 @@
 	return resp, ProofAnswered, nil
 }
 
+// boundReceive bounds the receive buffer to what the rate needs over the longest round trip.
+func boundReceive(c net.Conn, rate int64) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || rate <= 0 {
+		return
+	}
+	bytes := max(MinReceive, int(float64(rate)*RoundTrip.Seconds()))
+	_ = tcp.SetReadBuffer(bytes) // a larger buffer only makes the use of a link less even
+}
+
 // ErrFirstByte tells that no response header came in time.
 var ErrFirstByte = errors.New("no response header in time")
 
--- a/transport/edge/carry.go
+++ b/transport/edge/carry.go
@@ -210,7 +210,8 @@
 	if ok {
 		out.Header.Set(callers.HeaderDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
-	resp, proof, err := m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once(), Cancel: at.cancel})
+	resp, proof, err := m.opts.Backends.Do(ctx, backend.Call{Server: at.server, Request: out, FirstByte: rq.service.FirstByteTimeout, Once: rq.once(), Cancel: at.cancel,
+		Rate: paceRate(rq.service, rq.snapshot.Self.Region, at.answer.Region)})
 	if proof != backend.ProofAnswered {
 		rq.seen.Refused(observe.ReasonBackend)
 	}
--- a/transport/standin/node.go
+++ b/transport/standin/node.go
@@ -13,7 +13,7 @@
 // Bounds of a node's connections.
 const (
 	silentLimit = 10 * time.Minute // after which a silent connection is closed, so that it does not stay for ever
-	writeBuffer = 256 << 10        // bytes of the kernel's send buffer; bounds the bytes sent ahead of a paced reader
+	writeBuffer = 16 << 10         // bytes of the kernel's send buffer, which count as carried although they have not crossed the link
 )
 
 // node is one listening address whose process can crash and return.
