--- /dev/null
+++ b/cmd/azb-capacity/main.go
@@ -0,0 +1,218 @@
+// Command azb-capacity measures what control costs in fleets of several sizes. It runs the instances' control state in
+// one process on a virtual clock, so that its figures do not include the transport.
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"azurebridge/coordination/control/fleetbench"
+	"azurebridge/protocol/wire"
+	"azurebridge/state"
+)
+
+var cli struct {
+	Instances []int         `help:"Sizes of the fleets." default:"10,20,40,80,160"`
+	Regions   int           `help:"Regions." default:"3"`
+	Domains   int           `help:"Failure domains of all regions." default:"6"`
+	Settle    time.Duration `help:"Virtual time before measuring." default:"15s"`
+	Measure   time.Duration `help:"Virtual time that is measured." default:"10s"`
+	Config    int           `help:"Bytes of an encoded configuration." default:"8192"`
+	Kinds     bool          `help:"Print the messages by type."`
+	Faults    bool          `help:"Measure changes, restarts, a lost failure domain and parted regions, too." default:"true" negatable:""`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Measures the cost of control in fleets on a virtual clock."))
+	for _, n := range cli.Instances {
+		measure(n)
+	}
+}
+
+func measure(n int) {
+	before := heapInUse()
+	f := fleetbench.New(fleetbench.Options{
+		Instances: n, Regions: min(cli.Regions, n), Domains: cli.Domains, Encode: wire.Encode, Decode: wire.Decode,
+	})
+	f.Run(cli.Settle)
+	f.Apply(f.Members[0], 1, cli.Config)
+	f.Run(2 * time.Second)
+	f.Reset()
+	var m0, m1 runtime.MemStats
+	runtime.ReadMemStats(&m0)
+	f.Run(cli.Measure)
+	runtime.ReadMemStats(&m1)
+	s := cli.Measure.Seconds()
+	report(f, n, s)
+	fmt.Printf("instances=%d heap_KB_each=%.0f allocs_per_s_each=%.0f alloc_KB_per_s_each=%.1f\n", n,
+		float64(heapInUse()-before)/float64(n)/1024, float64(m1.Mallocs-m0.Mallocs)/s/float64(n), float64(m1.TotalAlloc-m0.TotalAlloc)/s/float64(n)/1024)
+	if cli.Kinds {
+		kinds(f, n, s)
+	}
+	if cli.Faults {
+		changes(f, n)
+		faults(f, n)
+	}
+	runtime.KeepAlive(f)
+}
+
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// report prints the means of each role, and the highest instance of it.
+func report(f *fleetbench.Fleet, n int, s float64) {
+	roles := map[string][]*fleetbench.Member{}
+	store := 0
+	for _, m := range f.Members {
+		store += m.Use.Store
+		switch {
+		case m.Down:
+		case m.Home():
+			roles["home"] = append(roles["home"], m)
+		case m.Reader:
+			roles["reader"] = append(roles["reader"], m)
+		default:
+			roles["member"] = append(roles["member"], m)
+		}
+	}
+	for _, role := range []string{"member", "reader", "home"} {
+		list := roles[role]
+		if len(list) == 0 {
+			continue
+		}
+		var sum fleetbench.Use
+		var most time.Duration
+		for _, m := range list {
+			u := &m.Use
+			sum.Sent, sum.Received = sum.Sent+u.Sent, sum.Received+u.Received
+			sum.SentBytes, sum.ReceivedBytes = sum.SentBytes+u.SentBytes, sum.ReceivedBytes+u.ReceivedBytes
+			sum.Busy, sum.Events, sum.Snapshots = sum.Busy+u.Busy, sum.Events+u.Events, sum.Snapshots+u.Snapshots
+			most = max(most, u.Busy)
+		}
+		per := func(v int) float64 { return float64(v) / s / float64(len(list)) }
+		fmt.Printf("instances=%d role=%s count=%d sent/s=%.1f received/s=%.1f sent_KB/s=%.2f received_KB/s=%.2f cpu_percent=%.3f cpu_percent_max=%.3f wakeups/s=%.0f snapshots/s=%.1f\n",
+			n, role, len(list), per(sum.Sent), per(sum.Received), per(sum.SentBytes)/1000, per(sum.ReceivedBytes)/1000,
+			100*sum.Busy.Seconds()/s/float64(len(list)), 100*most.Seconds()/s, per(sum.Events), per(sum.Snapshots))
+	}
+	fmt.Printf("instances=%d store_operations/s=%.2f store_watches=%d\n", n, float64(store)/s, len(roles["reader"])+readers(roles["home"]))
+}
+
+func readers(list []*fleetbench.Member) int {
+	n := 0
+	for _, m := range list {
+		if m.Reader {
+			n++
+		}
+	}
+	return n
+}
+
+func kinds(f *fleetbench.Fleet, n int, s float64) {
+	var names []string
+	for k := range f.Kinds {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		u := f.Kinds[k]
+		fmt.Printf("instances=%d type=%s sent/s=%.1f sent_KB/s=%.2f bytes_each=%d\n", n, strings.TrimPrefix(k, "*message."),
+			float64(u.Sent)/s, float64(u.SentBytes)/s/1000, u.SentBytes/u.Sent)
+	}
+}
+
+// changes prints when one change and a burst of ten are in force everywhere.
+func changes(f *fleetbench.Fleet, n int) {
+	apply := func(name string, first, last state.Revision) {
+		f.Reset()
+		accepted := f.Now
+		for r := first; r <= last; r++ {
+			f.Apply(f.Members[int(r)%len(f.Members)], r, cli.Config)
+			accepted = f.Now
+			f.Run(10 * time.Millisecond)
+		}
+		f.Run(8 * time.Second)
+		have, took := f.InForce(last, accepted)
+		u := f.Kinds["*message.ConfigPush"]
+		fmt.Printf("instances=%d event=%s in_force_at=%d in_force_ms=%d pushes=%d pushed_KB=%.0f\n", n, name, have, took.Milliseconds(), u.Sent, float64(u.SentBytes)/1000)
+	}
+	apply("change", 2, 2)
+	apply("burst_of_10", 3, 12)
+}
+
+// faults prints the messages around a restart, the loss of a failure domain and two parted regions.
+func faults(f *fleetbench.Fleet, n int) {
+	base := window(f, 10*time.Second)
+	victim := f.Members[len(f.Members)-1]
+	for _, m := range f.Members {
+		if !m.Home() && !m.Reader {
+			victim = m
+		}
+	}
+	f.Reset()
+	f.Kill(victim)
+	f.Run(100 * time.Millisecond)
+	f.Restart(victim)
+	f.Run(9900 * time.Millisecond)
+	own := victim.Use
+	printEvent(n, "restart", base, total(f))
+	fmt.Printf("instances=%d event=restart own_sent=%d own_received=%d own_KB=%.1f\n", n, own.Sent, own.Received, float64(own.SentBytes+own.ReceivedBytes)/1000)
+
+	lost := f.Members[0].Self.Domain
+	f.Reset()
+	for _, m := range f.Members {
+		if m.Self.Domain == lost {
+			f.Kill(m)
+		}
+	}
+	f.Run(10 * time.Second)
+	printEvent(n, "domain_lost", base, total(f))
+	f.Reset()
+	for _, m := range f.Members {
+		if m.Down {
+			f.Restart(m)
+		}
+	}
+	f.Run(10 * time.Second)
+	printEvent(n, "domain_back", base, total(f))
+	a, b := f.Members[0].Self.Region, f.Members[1].Self.Region
+	if a == b {
+		return
+	}
+	f.Part(a, b, true)
+	f.Reset()
+	f.Run(60 * time.Second)
+	all := total(f)
+	all.Sent, all.SentBytes, all.Store, all.Busy = all.Sent/6, all.SentBytes/6, all.Store/6, all.Busy/6
+	printEvent(n, "parted_10s_of_60s", base, all)
+	f.Part(a, b, false)
+	printEvent(n, "parted_end", base, window(f, 10*time.Second))
+}
+
+func window(f *fleetbench.Fleet, d time.Duration) fleetbench.Use {
+	f.Reset()
+	f.Run(d)
+	return total(f)
+}
+
+func total(f *fleetbench.Fleet) fleetbench.Use {
+	var sum fleetbench.Use
+	for _, m := range f.Members {
+		sum.Sent, sum.SentBytes = sum.Sent+m.Use.Sent, sum.SentBytes+m.Use.SentBytes
+		sum.Store, sum.Busy = sum.Store+m.Use.Store, sum.Busy+m.Use.Busy
+	}
+	return sum
+}
+
+func printEvent(n int, name string, base, u fleetbench.Use) {
+	fmt.Printf("instances=%d event=%s fleet_messages=%d (settled %d) fleet_KB=%.0f (settled %.0f) store_operations=%d busy_ms=%d (settled %d)\n", n, name,
+		u.Sent, base.Sent, float64(u.SentBytes)/1000, float64(base.SentBytes)/1000, u.Store, u.Busy.Milliseconds(), base.Busy.Milliseconds())
+}
--- a/coordination/control/home.go
+++ b/coordination/control/home.go
@@ -166,3 +166,6 @@
 		c.election.Candidate.HomeAlive(now, from, epoch)
 	}
 }
+
+// IsHome reports whether this instance is home of its region.
+func (c *Core) IsHome() bool { return c.home != nil }
