--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -79,6 +79,7 @@
 	claims   claimCores
 	leaving  bool
 	changed  bool
+	activeAt state.Instant        // last event or message of requests and submissions
 	local    []admission.Outbound // messages to this instance itself, handled before Ready returns
 	ready    Ready
 	opID     uint64
@@ -110,6 +111,7 @@
 	c.followLease(now)
 	switch ev := ev.(type) {
 	case Admit:
+		c.activeAt = now
 		c.holder.Ask(now, ev.Ask, ev.Asker)
 	case Received:
 		c.receive(now, ev.Envelope)
@@ -124,6 +126,7 @@
 	case Inspect:
 		ev.Done(c.dump(now))
 	default:
+		c.activeAt = now
 		c.stepClaims(now, ev)
 	}
 }
@@ -204,6 +207,9 @@
 		return
 	}
 	c.table.Heard(now, e.From, e.Incarnation)
+	if traffic(e.Body) {
+		c.activeAt = now
+	}
 	c.deliver(now, e.From, e.Incarnation, e.Body)
 }
 
--- a/coordination/control/fleetbench/change.go
+++ b/coordination/control/fleetbench/change.go
@@ -44,7 +44,7 @@
 }
 
 // Kill ends an instance.
-func (f *Fleet) Kill(m *Member) { m.Down, m.tickAt = true, f.Now }
+func (f *Fleet) Kill(m *Member) { m.Down, m.downAt = true, f.Now }
 
 // Restart starts a new process in the place of an instance.
 func (f *Fleet) Restart(m *Member) {
--- a/coordination/control/loop.go
+++ b/coordination/control/loop.go
@@ -16,7 +16,6 @@
 const (
 	MaxQueuedEvents = 4096                   // events waiting for the control goroutine
 	MaxBatch        = 256                    // events handled before work is handed out
-	TickInterval    = 20 * time.Millisecond  // between runs of due work
 	StatusInterval  = 250 * time.Millisecond // between load reports of a home
 )
 
@@ -100,11 +99,13 @@
 	}
 }
 
-// Run is the control goroutine. It returns when ctx ends.
+// Run is the control goroutine. It returns when ctx ends. It sleeps until an event arrives or the core has work due.
 func (l *Loop) Run(ctx context.Context) {
-	ticker := time.NewTicker(TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	due := l.clock()
 	for {
+		ticked := false
 		select {
 		case <-ctx.Done():
 			return
@@ -112,12 +113,19 @@
 			l.step(ev)
 			l.drain()
 		case <-l.wake:
-		case <-ticker.C:
+		case <-timer.C:
 			l.core.Tick(l.clock())
+			ticked = true
 		}
 		l.takeReleases()
 		l.takeReports()
-		l.hand(l.core.Ready(l.clock()))
+		now := l.clock()
+		l.hand(l.core.Ready(now))
+		// An event can only bring the next run forward: otherwise a stream of events would put it off for ever.
+		if next := now.Add(l.core.NextTick(now)); ticked || next.Before(due) {
+			due = next
+			timer.Reset(due.Sub(now))
+		}
 	}
 }
 
