--- /dev/null
+++ b/cmd/azb-front/main.go
@@ -0,0 +1,34 @@
+// Command azb-front is the entry instance on a platform that keeps routing, backend servers and instances in its store. It
+// tells callers where to connect and carries their requests to backend servers.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"azurebridge/platform"
+)
+
+// exitUsage is the exit code for wrong arguments or settings.
+const exitUsage = 2
+
+var cli struct {
+	Config string `help:"Settings file (INI). Without it, the file that the platform names." type:"path"`
+	Check  bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Entry instance of the azurebridge traffic steering system on the platform's store."))
+	path, err := cli.Config, error(nil)
+	if path == "" {
+		path, err = platform.SettingsPath()
+	}
+	if err == nil {
+		err = run(path, cli.Check)
+	}
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(exitUsage)
+	}
+}
--- /dev/null
+++ b/cmd/azb-front/run.go
@@ -0,0 +1,170 @@
+package main
+
+// #include <stdlib.h>
+import "C" // links the C library, which the platform's machines need
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quota"
+	"azurebridge/platform"
+	"azurebridge/protocol/settings"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+	"azurebridge/transport/backend"
+	"azurebridge/transport/backendconn"
+	"azurebridge/transport/eventlog"
+	"azurebridge/transport/front"
+	"azurebridge/transport/metastore"
+)
+
+// Times of the callers' servers.
+const (
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep idle connections, so that none is closed while a request is on its way.
+	idleTimeout   = 2 * time.Minute
+	sweepInterval = 2 * time.Second
+	// memoryShare is the part of the process's memory at which the collector works harder.
+	memoryShare = 0.6
+)
+
+// maxHeader bounds the header of any request, in bytes. The routing table has a lower limit.
+const maxHeader = 64 << 10
+
+// program holds the parts of the process.
+type program struct {
+	cfg       *settings.Front
+	log       hclog.Logger
+	lines     *eventlog.Writer
+	loop      *catalog.Loop
+	store     *platform.Store
+	follower  *metastore.Follower
+	registrar *metastore.Registrar
+	pool      *backendconn.Pool
+	front     *front.Manager
+	callers   *http.Server
+}
+
+// run serves until a signal and then stops without cutting requests.
+func run(path string, checkOnly bool) error {
+	cfg, err := settings.LoadFront(path)
+	if err != nil || checkOnly {
+		return err
+	}
+	if cfg.Limits.MemoryMegabyte > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMegabyte<<20) * memoryShare))
+	}
+	return newProgram(cfg).serve()
+}
+
+func newProgram(cfg *settings.Front) *program {
+	p := &program{cfg: cfg, lines: eventlog.NewWriter(os.Stdout)}
+	p.log = hclog.New(&hclog.LoggerOptions{
+		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.lines,
+	})
+	core := catalog.NewCore(catalog.Options{
+		Self: cfg.Name, Cold: quota.ColdLimit{Factor: cfg.Limits.ColdFactor, Tolerance: cfg.Limits.ColdTolerance},
+	})
+	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.Note) { p.log.Info(n.Message, n.Fields...) })
+	self := routing.Peer{
+		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
+		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(),
+	}
+	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
+	p.follower = metastore.NewFollower(p.store, p.loop, p.log.Named("store"))
+	p.registrar = metastore.NewRegistrar(p.store, p.log.Named("store"))
+	p.pool = backendconn.NewPool(backend.Dial)
+	p.front = front.New(front.Options{
+		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region, Domain: cfg.Domain,
+		Retry: quota.RetryLimit{Ratio: cfg.Limits.RetryRatio, Extra: cfg.Limits.RetryExtra, Window: cfg.Limits.RetryWindow},
+		Log:   p.log.Named("front"),
+	})
+	p.callers = &http.Server{
+		Handler: p.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	return p
+}
+
+// serve runs the servers and workers until a signal.
+func (p *program) serve() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logged := make(chan struct{})
+	go func() { p.lines.Run(ctx); close(logged) }()
+	failed := make(chan error, 3)
+	servers := []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{p.cfg.Callers, p.callers},
+		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Directory, &http.Server{Handler: platform.Directory(p.loop.View, p.cfg.Callers.String(), p.cfg.Limits.LookupTTL), ReadHeaderTimeout: headerTimeout}},
+	}
+	for _, s := range servers {
+		ln, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
+	}
+	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep} {
+		go work(ctx)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	p.log.Info("instance started", "callers", p.cfg.Callers.String(), "region", string(p.cfg.Region), "domain", string(p.cfg.Domain))
+	select {
+	case err := <-failed:
+		return err
+	case <-signals:
+	}
+	p.stop(ctx)
+	cancel()
+	<-logged
+	return nil
+}
+
+// ready reports whether the instance takes new callers.
+func (p *program) ready() bool {
+	v := p.loop.View()
+	return v.Table != nil && !v.Stopping
+}
+
+// registerWhenReady waits for a routing table before callers are sent here.
+func (p *program) registerWhenReady(ctx context.Context) {
+	const check = 50 * time.Millisecond
+	for !p.ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(check):
+		}
+	}
+	p.registrar.Run(ctx)
+}
+
+func (p *program) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.pool.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/coordination/catalog/core.go
@@ -0,0 +1,345 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"azurebridge/coordination/quota"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// Times of the core.
+const (
+	// LapseGrace is how long an entry that is missing after an outage of the store stays in use: live servers are back
+	// within about two seconds.
+	LapseGrace = 2200 * time.Millisecond
+	// outageTail is how long after the store's return a missing entry may be due to the outage.
+	outageTail = 2500 * time.Millisecond
+	// massGrace is the same for many entries that vanish at once without a known outage. It stays within the time in which
+	// a server that has left must get no more requests.
+	massGrace = 1200 * time.Millisecond
+	// GuardTime is how long a server that may have restarted unnoticed is treated as cold: its next heartbeat tells.
+	GuardTime = 3 * time.Second
+	// instanceMemory is how long an instance that has gone still counts for shared limits.
+	instanceMemory = 15 * time.Second
+)
+
+// massLapse is the least number of servers, and the least share of all, that vanish together in a lapse of leases.
+const (
+	massLapseCount = 4
+	massLapseShare = 0.25
+)
+
+// Options are the fixed inputs of a core.
+type Options struct {
+	Self state.InstanceName
+	Cold quota.ColdLimit
+}
+
+// Core holds the control state. It belongs to the control goroutine.
+type Core struct {
+	opts      Options
+	table     *routing.Table
+	servers   map[string]*member // by key
+	evacuated map[string]Evacuation
+	peers     map[string]*routing.Peer
+	budgets   map[state.ServiceName]*quota.RetryBudget
+	lost      bool
+	lostUntil state.Instant // when the outage of the store ended, plus outageTail
+	stopping  bool
+	most      int // most instances alive lately
+	mostAt    state.Instant
+	notes     []Note
+	dirty     bool
+}
+
+// member is one backend server.
+type member struct {
+	routing.Backend
+	health   health
+	gauge    *Gauge
+	guarded  state.Instant // until then the server may be cold
+	vanished state.Instant // when its entry disappeared, if that may be a lapse; 0 otherwise
+	grace    time.Duration // how long it stays in use after that
+}
+
+// Note is a change of what the instance believes, for the log.
+type Note struct {
+	Message string
+	Fields  []any // names and values in turn
+}
+
+// NewCore returns a core that knows nothing.
+func NewCore(opts Options) *Core {
+	return &Core{
+		opts: opts, servers: make(map[string]*member), evacuated: make(map[string]Evacuation),
+		peers: make(map[string]*routing.Peer), budgets: make(map[state.ServiceName]*quota.RetryBudget), dirty: true,
+	}
+}
+
+// Step handles an event.
+func (c *Core) Step(now state.Instant, ev Event) {
+	switch ev := ev.(type) {
+	case Listed:
+		c.list(now, ev.Items)
+	case Changed:
+		c.change(now, ev.Items)
+	case StoreLost:
+		if !c.lost {
+			c.lost = true
+			c.note("store lost")
+		}
+	case StoreRegained:
+		if c.lost {
+			c.lost, c.lostUntil = false, now.Add(outageTail)
+			c.note("store regained")
+		}
+	case Observed:
+		c.observe(now, ev)
+	case Stopping:
+		c.stopping, c.dirty = true, true
+	}
+	c.expire(now)
+}
+
+// Tick removes what has been missing for too long.
+func (c *Core) Tick(now state.Instant) { c.expire(now) }
+
+// NextTick returns when Tick is due, and false when nothing is waiting.
+func (c *Core) NextTick() (state.Instant, bool) {
+	var due state.Instant
+	for _, m := range c.servers {
+		if m.vanished == 0 {
+			continue
+		}
+		if at := m.vanished.Add(m.grace); due == 0 || at.Before(due) {
+			due = at
+		}
+	}
+	if c.most > len(c.peers) {
+		if at := c.mostAt.Add(instanceMemory); due == 0 || at.Before(due) {
+			due = at
+		}
+	}
+	return due, due != 0
+}
+
+// list replaces everything by the content of the store.
+func (c *Core) list(now state.Instant, items []Item) {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = it.Fact != nil
+	}
+	gone := items[:0:0]
+	for key := range c.servers {
+		if !present[key] {
+			gone = append(gone, Item{Key: key})
+		}
+	}
+	for key := range c.evacuated {
+		if !present[key] {
+			gone = append(gone, Item{Key: key})
+		}
+	}
+	for key := range c.peers {
+		if !present[key] {
+			gone = append(gone, Item{Key: key})
+		}
+	}
+	c.change(now, append(gone, items...))
+}
+
+// change applies changes of single keys.
+func (c *Core) change(now state.Instant, items []Item) {
+	grace := c.grace(now, items)
+	for _, it := range items {
+		c.dirty = true
+		switch f := it.Fact.(type) {
+		case *routing.Table:
+			c.adopt(f)
+		case *routing.Backend:
+			c.join(now, it.Key, f)
+		case Evacuation:
+			c.evacuate(it.Key, f)
+		case *routing.Peer:
+			c.peers[it.Key] = f
+		case nil:
+			c.remove(now, it.Key, grace)
+		}
+	}
+	c.countInstances(now)
+}
+
+// grace returns how long servers that vanish in these changes stay in use: 0 unless leases seem to have lapsed.
+func (c *Core) grace(now state.Instant, items []Item) time.Duration {
+	if c.lost || now.Before(c.lostUntil) {
+		return LapseGrace
+	}
+	gone := 0
+	for _, it := range items {
+		if m := c.servers[it.Key]; m != nil && it.Fact == nil && !m.Draining {
+			gone++
+		}
+	}
+	if gone >= massLapseCount && float64(gone) >= massLapseShare*float64(len(c.servers)) {
+		return massGrace
+	}
+	return 0
+}
+
+// adopt puts a table into force. A version never goes back.
+func (c *Core) adopt(t *routing.Table) {
+	if c.table != nil && t.Version <= c.table.Version {
+		return
+	}
+	c.table = t
+	c.note("routing table in force", "version", uint64(t.Version), "routes", len(t.Routes), "services", len(t.Services))
+}
+
+func (c *Core) join(now state.Instant, key string, b *routing.Backend) {
+	m := c.servers[key]
+	if m == nil || m.Born != b.Born || m.Address != b.Address {
+		m = &member{gauge: &Gauge{}}
+		c.servers[key] = m
+	}
+	if m.Name == "" || m.Draining != b.Draining {
+		c.note("backend server listed", "server", string(b.Name), "service", string(b.Service), "domain", string(b.Domain),
+			"draining", b.Draining, "cold_ms", int64(b.ColdUntil)/int64(time.Millisecond))
+	}
+	m.Backend = *b
+	m.vanished = 0
+	m.guarded = 0
+	if b.ColdUntil > 0 {
+		m.ColdUntil = now.Add(time.Duration(b.ColdUntil))
+	}
+}
+
+func (c *Core) evacuate(key string, e Evacuation) {
+	if _, ok := c.evacuated[key]; !ok {
+		c.note("failure domain evacuated", "domain", string(e.Domain))
+	}
+	c.evacuated[key] = e
+}
+
+func (c *Core) remove(now state.Instant, key string, grace time.Duration) {
+	if m := c.servers[key]; m != nil {
+		if grace > 0 && !m.Draining {
+			if m.vanished == 0 {
+				m.vanished, m.grace = now, grace
+				c.note("backend server missing, kept for a moment", "server", string(m.Name), "ms", grace.Milliseconds())
+			}
+			return
+		}
+		c.note("backend server gone", "server", string(m.Name), "service", string(m.Service))
+		delete(c.servers, key)
+	}
+	if e, ok := c.evacuated[key]; ok {
+		c.note("failure domain taken back", "domain", string(e.Domain))
+		delete(c.evacuated, key)
+		c.guardDomain(now, e.Domain)
+	}
+	delete(c.peers, key)
+}
+
+// guardDomain treats the servers of a failure domain as cold until their next heartbeats tell whether they are.
+func (c *Core) guardDomain(now state.Instant, domain state.DomainName) {
+	for _, m := range c.servers {
+		if m.Domain == domain {
+			m.guarded = now.Add(GuardTime)
+		}
+	}
+}
+
+// expire removes servers that did not come back.
+func (c *Core) expire(now state.Instant) {
+	for key, m := range c.servers {
+		if m.vanished != 0 && !now.Before(m.vanished.Add(m.grace)) && !c.lost {
+			c.note("backend server gone", "server", string(m.Name), "service", string(m.Service))
+			delete(c.servers, key)
+			c.dirty = true
+		}
+	}
+	c.countInstances(now)
+}
+
+// countInstances keeps the most instances alive lately, so that shared limits also cover those that have just gone.
+func (c *Core) countInstances(now state.Instant) {
+	if n := len(c.peers); n >= c.most || !now.Before(c.mostAt.Add(instanceMemory)) {
+		if n != c.most {
+			c.dirty = true
+		}
+		c.most, c.mostAt = n, now
+	}
+}
+
+// TakeNotes returns what changed since the last call.
+func (c *Core) TakeNotes() []Note {
+	notes := c.notes
+	c.notes = nil
+	return notes
+}
+
+func (c *Core) note(message string, fields ...any) {
+	c.notes = append(c.notes, Note{message, fields})
+	c.dirty = true
+}
+
+// View returns a new view when something has changed since the last call, and nil otherwise.
+func (c *Core) View() *View {
+	if !c.dirty {
+		return nil
+	}
+	c.dirty = false
+	v := &View{
+		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.most, StoreLost: c.lost,
+		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool),
+	}
+	for _, e := range c.evacuated {
+		v.Evacuated[e.Domain] = true
+	}
+	names := make([]state.InstanceName, 0, len(c.peers))
+	for _, p := range c.peers {
+		v.Peers = append(v.Peers, *p)
+		names = append(names, p.Name)
+	}
+	slices.SortFunc(v.Peers, func(a, b routing.Peer) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	for _, m := range c.servers {
+		c.offerServer(v, m, names)
+	}
+	for _, s := range v.Services {
+		slices.SortFunc(s.Servers, func(a, b *Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	}
+	return v
+}
+
+// offerServer adds a server to the view when it may get requests.
+func (c *Core) offerServer(v *View, m *member, names []state.InstanceName) {
+	if m.Draining || v.Evacuated[m.Domain] {
+		return
+	}
+	s := v.Services[m.Service]
+	if s == nil {
+		s = &Service{Budget: c.budget(m.Service)}
+		v.Services[m.Service] = s
+	}
+	var rate float64
+	if c.table != nil {
+		rate = c.table.Services[m.Service].ColdRate
+	}
+	limited := max(m.ColdUntil, m.guarded)
+	s.Servers = append(s.Servers, &Server{
+		Backend: m.Backend, LimitedUntil: limited, EjectedUntil: m.health.ejectedUntil, Gauge: m.gauge,
+		ColdSender: limited != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
+	})
+}
+
+func (c *Core) budget(name state.ServiceName) *quota.RetryBudget {
+	b := c.budgets[name]
+	if b == nil {
+		b = &quota.RetryBudget{}
+		c.budgets[name] = b
+	}
+	return b
+}
--- /dev/null
+++ b/coordination/catalog/health.go
@@ -0,0 +1,75 @@
+package catalog
+
+import (
+	"time"
+
+	"azurebridge/state"
+)
+
+// Ejection of backend servers that fail.
+const (
+	failuresToEject  = 3                      // failures in a row, or nearly
+	firstEjection    = 1 * time.Second        // doubles with each further one
+	longestEjection  = 8 * time.Second        //
+	unreachableEject = 500 * time.Millisecond // first ejection of a server that takes no connection
+)
+
+// health counts the failures of one backend server as this instance sees them.
+type health struct {
+	failures     float64 // recent failures; each good answer halves them
+	ejections    int     // in a row
+	ejectedUntil state.Instant
+}
+
+// observe applies the outcome of an exchange to the server's health.
+func (c *Core) observe(now state.Instant, o Observed) {
+	m := c.findServer(o.Server)
+	if m == nil {
+		return
+	}
+	h := &m.health
+	switch o.Outcome {
+	case Answered:
+		h.failures /= 2
+		if h.failures < 0.5 && now.Sub(h.ejectedUntil) > 0 {
+			h.ejections = 0
+		}
+	case Refused:
+		return
+	case Failed:
+		h.failures++
+	case Gone:
+		// The address belongs to another server: this one is gone for good, whatever its entry says.
+		c.eject(now, m, longestEjection, o.Outcome)
+	case Unreachable:
+		// The server may come back cold.
+		m.guarded = max(m.guarded, now.Add(GuardTime))
+		c.eject(now, m, unreachableEject<<min(h.ejections, 4), o.Outcome)
+	case Broken:
+		m.guarded = max(m.guarded, now.Add(GuardTime))
+		c.dirty = true
+		h.failures++
+	}
+	if h.failures >= failuresToEject {
+		h.failures = 0
+		c.eject(now, m, firstEjection<<min(h.ejections, 3), o.Outcome)
+	}
+}
+
+func (c *Core) eject(now state.Instant, m *member, d time.Duration, why Outcome) {
+	if now.Before(m.health.ejectedUntil) {
+		return
+	}
+	m.health.ejections++
+	m.health.ejectedUntil = now.Add(min(d, longestEjection))
+	c.note("backend server ejected", "server", string(m.Name), "why", why.String(), "ms", d.Milliseconds())
+}
+
+func (c *Core) findServer(name state.BackendName) *member {
+	for _, m := range c.servers {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,171 @@
+// Package placement chooses the backend server for a request. It is pure: views and time are passed in, and only the pace
+// of requests to cold servers is taken from the server's gauge.
+//
+// A backend server handles an object faster when it has handled it lately. Requests of one object therefore go to few
+// servers: all instances rank the servers of a service in the same order for an object, and take the first that has room.
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// Request is what the choice depends on.
+type Request struct {
+	Service state.ServiceName
+	Object  string // key of the object; empty when the route has no affinity
+	Route   *routing.Route
+	Region  state.RegionName // of the instance
+	Domain  state.DomainName // of the instance
+	Bulk    bool             // answers are so large that distance costs more than warmth gains
+	Tried   []state.BackendName
+	Draw    func() float64 // random number from 0 (included) to 1 (excluded)
+}
+
+// Reason says why no server was chosen.
+type Reason int
+
+// Reasons of a refusal.
+const (
+	Chosen    Reason = iota
+	NoServers        // the service has no server that the route allows
+	Exhausted        // every server that the route allows has been tried
+	Limited          // what is left is cold and takes no more for now
+)
+
+// String returns the reason's name in log lines.
+func (r Reason) String() string {
+	return [...]string{"chosen", "no-servers", "exhausted", "limited"}[r]
+}
+
+// spread is the number of servers, first in an object's order, among which a request looks for room before it takes the
+// one that is used least.
+const spread = 4
+
+// distance classes of a server, nearest first.
+const (
+	sameDomain = iota
+	sameRegion
+	elsewhere
+	distances
+)
+
+// Choose returns a server for the request, or nil and the reason. It takes the pace of a limited server when it chooses
+// one.
+func Choose(v *catalog.View, r *Request, now state.Instant) (*catalog.Server, Reason) {
+	s := v.Services[r.Service]
+	if s == nil {
+		return nil, NoServers
+	}
+	usable, reason := candidates(s.Servers, r, now)
+	if len(usable) == 0 {
+		return nil, reason
+	}
+	order(usable, r)
+	for len(usable) > 0 {
+		i := pick(usable, r, now)
+		c := usable[i]
+		if !now.Before(c.server.LimitedUntil) || c.server.Gauge.Pace.Take(now) {
+			return c.server, Chosen
+		}
+		usable = slices.Delete(usable, i, i+1)
+	}
+	return nil, Limited
+}
+
+// candidate is a server with its place in the order of the request's object.
+type candidate struct {
+	server   *catalog.Server
+	rank     float64 // lower is earlier
+	distance int
+}
+
+// candidates returns the servers that the request may be sent to. Ejected servers are among them only when all are.
+func candidates(servers []*catalog.Server, r *Request, now state.Instant) ([]candidate, Reason) {
+	var usable, ejected []candidate
+	reason := NoServers
+	for _, s := range servers {
+		if !r.Route.ServedIn(s.Region) {
+			continue
+		}
+		if slices.Contains(r.Tried, s.Name) {
+			reason = max(reason, Exhausted)
+			continue
+		}
+		if now.Before(s.LimitedUntil) && !s.ColdSender {
+			reason = Limited
+			continue
+		}
+		c := candidate{server: s, distance: r.distance(s)}
+		if now.Before(s.EjectedUntil) {
+			ejected = append(ejected, c)
+			continue
+		}
+		usable = append(usable, c)
+	}
+	if len(usable) == 0 {
+		usable = ejected
+	}
+	return usable, reason
+}
+
+func (r *Request) distance(s *catalog.Server) int {
+	switch {
+	case s.Domain == r.Domain:
+		return sameDomain
+	case s.Region == r.Region:
+		return sameRegion
+	}
+	return elsewhere
+}
+
+// order sorts the candidates by the weighted rendezvous hash of the object, or at random without one. Bulk requests go
+// to near servers first.
+func order(list []candidate, r *Request) {
+	for i := range list {
+		list[i].rank = r.rank(list[i].server)
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if r.Bulk && a.distance != b.distance {
+			return a.distance - b.distance
+		}
+		if a.rank < b.rank {
+			return -1
+		}
+		return 1
+	})
+}
+
+// rank gives each server a share of the objects in proportion to its slots.
+func (r *Request) rank(s *catalog.Server) float64 {
+	slots := float64(max(1, s.Slots))
+	if r.Object == "" {
+		return -math.Log(1-r.Draw()) / slots
+	}
+	hash := state.RendezvousScore(r.Object, string(s.Name))
+	const unit = 1.0 / (1 << 53)
+	return -math.Log((float64(hash>>11)+1)*unit) / slots
+}
+
+// pick returns the first candidate with a free slot among the first few, or the one of them that is used least.
+func pick(list []candidate, r *Request, now state.Instant) int {
+	best, least := 0, math.Inf(1)
+	for i := range list {
+		if i >= spread && !r.Bulk {
+			break
+		}
+		slots := float64(max(1, list[i].server.Slots))
+		use := (list[i].server.Gauge.Load(now) + 1) / slots
+		if use <= 1 {
+			return i
+		}
+		if use < least {
+			best, least = i, use
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/coordination/quota/retry.go
@@ -0,0 +1,75 @@
+// Package quota holds limits that all instances of the system share without asking each other for each request. Each
+// instance uses a part that it works out from the number of instances, so that the sum stays under the limit.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"azurebridge/state"
+)
+
+// RetryLimit bounds how often requests for one service are sent again, over all instances and in any span of Window.
+type RetryLimit struct {
+	Ratio  float64 // of the requests for the service
+	Extra  int     // besides, for all instances together
+	Window time.Duration
+}
+
+// retrySafety is the part of the limit that instances use. The rest covers instances that restart within a window and
+// forget what they have sent.
+const retrySafety = 0.7
+
+// buckets divide a window. A retry counts for the whole bucket in which it was sent and one more, so that no span of
+// Window holds more than the limit.
+const buckets = 20
+
+// RetryBudget counts the requests and retries of one service at one instance. It is safe for concurrent use.
+type RetryBudget struct {
+	mu       sync.Mutex
+	requests [buckets + 1]int
+	retries  [buckets + 1]int
+	newest   int64 // number of the newest bucket
+}
+
+// Request records a caller's request for the service.
+func (b *RetryBudget) Request(now state.Instant, limit RetryLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests[b.advance(now, limit)]++
+}
+
+// Take records a retry and returns true when the instance's part of the limit allows it. instances is the number of
+// instances that share the limit; with 0 it is not known, and only requests of this instance pay for retries.
+func (b *RetryBudget) Take(now state.Instant, limit RetryLimit, instances int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.advance(now, limit)
+	requests, retries := 0, 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	allowed := limit.Ratio * float64(requests)
+	if instances > 0 {
+		allowed += float64(limit.Extra) / float64(instances)
+	}
+	if float64(retries+1) > retrySafety*allowed {
+		return false
+	}
+	b.retries[at]++
+	return true
+}
+
+// advance clears the buckets that have left the window and returns the place of the current one. b.mu is held.
+func (b *RetryBudget) advance(now state.Instant, limit RetryLimit) int {
+	number := int64(now) / int64(limit.Window/buckets)
+	for b.newest < number {
+		if number-b.newest > buckets {
+			b.newest = number - buckets - 1
+		}
+		b.newest++
+		b.requests[b.newest%(buckets+1)], b.retries[b.newest%(buckets+1)] = 0, 0
+	}
+	return int(b.newest % (buckets + 1))
+}
--- a/protocol/inifile/inifile.go
+++ b/protocol/inifile/inifile.go
@@ -253,6 +253,24 @@
 	return n
 }
 
+// Number returns a number, with or without a fraction, within a range.
+func (s *Section) Number(key string, def, least, most float64) float64 {
+	v, ok := s.raw(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		s.Problem(key, fmt.Sprintf("%q is not a number", v))
+		return def
+	}
+	if !(n >= least && n <= most) {
+		s.Problem(key, fmt.Sprintf("%v is not in %v to %v", n, least, most))
+		return def
+	}
+	return n
+}
+
 // Duration returns a time with its unit, such as 250ms, within a range.
 func (s *Section) Duration(key string, def, least, most time.Duration) time.Duration {
 	v, ok := s.raw(key)
--- /dev/null
+++ b/protocol/settings/front.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"azurebridge/protocol/inifile"
+	"azurebridge/state"
+)
+
+// Front is the settings of azb-front.
+type Front struct {
+	Name      state.InstanceName
+	Region    state.RegionName
+	Domain    state.DomainName
+	Callers   netip.AddrPort
+	Ready     netip.AddrPort
+	Directory netip.AddrPort
+	Peers     netip.AddrPort // UDP, other instances
+	Metrics   netip.AddrPort
+	Store     netip.AddrPort
+	Regions   map[state.DomainName]state.RegionName
+	Limits    FrontLimits
+	LogLevel  string
+}
+
+// FrontLimits are the limits that hold for all instances of a deployment together, and the times that it grants.
+type FrontLimits struct {
+	StopGrace      time.Duration // from the signal to the end of the process
+	LookupTTL      time.Duration // how long callers keep a look-up
+	RetryRatio     float64       // of the requests for a service
+	RetryExtra     int           // retries besides, in one window
+	RetryWindow    time.Duration
+	ColdFactor     float64 // of the rate that a cold backend server bears
+	ColdTolerance  float64 // requests/s besides
+	MemoryMegabyte int     // of the process
+}
+
+// Defaults and bounds of FrontLimits.
+const (
+	defaultStopGrace   = 6 * time.Second
+	defaultLookupTTL   = 2 * time.Second
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = 10 * time.Second
+	maxRetryExtra      = 1 << 20
+	maxWindow          = time.Hour
+	maxFactor          = 1000
+	maxMemory          = 1 << 20
+)
+
+// LoadFront reads the settings of azb-front.
+func LoadFront(path string) (*Front, error) {
+	f, err := inifile.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return parseFront(f)
+}
+
+func parseFront(f *inifile.File) (*Front, error) {
+	out := &Front{Regions: make(map[state.DomainName]state.RegionName)}
+	s := f.Section("instance")
+	out.Name = state.InstanceName(s.Required("name"))
+	out.Region = state.RegionName(s.Required("region"))
+	out.Domain = state.DomainName(s.Required("domain"))
+	s = f.Section("listen")
+	out.Callers = s.HostPort("callers")
+	out.Ready = s.HostPort("ready")
+	out.Directory = s.HostPort("directory")
+	out.Peers = s.HostPort("peers")
+	out.Metrics = s.HostPort("metrics")
+	out.Store = f.Section("store").HostPort("address")
+	for _, s := range f.Named("domain") {
+		out.Regions[state.DomainName(s.Label)] = state.RegionName(s.Required("region"))
+	}
+	s = f.Section("limits")
+	out.Limits = FrontLimits{
+		StopGrace:      s.Duration("stop_grace", defaultStopGrace, time.Second, maxGrace),
+		LookupTTL:      s.Duration("lookup_ttl", defaultLookupTTL, 0, maxGrace),
+		RetryRatio:     s.Number("retry_ratio", defaultRetryRatio, 0, 1),
+		RetryExtra:     s.Int("retry_extra", 0, 0, maxRetryExtra),
+		RetryWindow:    s.Duration("retry_window", defaultRetryWindow, time.Second, maxWindow),
+		ColdFactor:     s.Number("cold_factor", 1, 0, maxFactor),
+		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxRate),
+		MemoryMegabyte: s.Int("memory_mb", 0, 0, maxMemory),
+	}
+	out.LogLevel = readLog(f)
+	return out, f.Err()
+}
--- /dev/null
+++ b/state/routing/validate.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// MaxRoutes bounds a table.
+const MaxRoutes = 100_000
+
+// Validate returns an error that names the first route with a fault.
+func (t *Table) Validate() error {
+	if t.Version == 0 {
+		return errors.New("routing table has no version")
+	}
+	if len(t.Routes) > MaxRoutes {
+		return errors.Errorf("routing table has %d routes, limit is %d", len(t.Routes), MaxRoutes)
+	}
+	for i := range t.Routes {
+		if err := t.validateRoute(&t.Routes[i]); err != nil {
+			return errors.Wrapf(err, "route %s", t.Routes[i].Name)
+		}
+	}
+	return nil
+}
+
+func (t *Table) validateRoute(r *Route) error {
+	if r.Host == "" {
+		return errors.New("has no host")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.MaxAttempts < 1 {
+		return errors.New("allows no attempt")
+	}
+	if r.Timeout <= 0 {
+		return errors.New("has no timeout")
+	}
+	total := 0
+	for _, p := range r.Parts {
+		if _, ok := t.Services[p.Service]; !ok {
+			return errors.Errorf("names the unknown service %q", p.Service)
+		}
+		if p.Weight < 0 {
+			return errors.Errorf("service %q has weight %d", p.Service, p.Weight)
+		}
+		total += p.Weight
+	}
+	if total == 0 {
+		return errors.New("has no service with a weight")
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/backendconn/exchange.go
@@ -0,0 +1,246 @@
+package backendconn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/state"
+)
+
+// Bounds of an exchange.
+const (
+	// dialTimeout bounds the opening of a connection: a round trip between regions takes under 100 ms.
+	dialTimeout = 300 * time.Millisecond
+	// maxStrays bounds the answers to other requests that are passed over on one connection.
+	maxStrays = 4
+	// MaxBuffered is the size up to which an answer is read whole before it is passed on, in bytes.
+	MaxBuffered = 1 << 20
+)
+
+// Dialect says how a platform's backend servers mark their answers.
+type Dialect interface {
+	// Inspect reads what the headers of an answer say.
+	Inspect(h http.Header, status int) Marks
+}
+
+// Marks is what an answer's headers say about it.
+type Marks struct {
+	RequestID   string // of the request that it answers; empty when it names none
+	Signed      bool   // the server vouches that the answer is its own
+	NotRun      bool   // the server did not run the request
+	WrongServer bool   // the address belongs to another server than the one that was meant
+	HasLoad     bool
+	Running     int // requests that the server runs
+	Waiting     int // requests that wait at the server
+	Slots       int
+}
+
+// Request is one request to one backend server.
+type Request struct {
+	Server  state.BackendName
+	Address string
+	ID      string // answers that name another request are passed over
+	Head    []byte // request line and headers, with the empty line
+	Body    []byte // the whole body, or its first bytes when there is a Rest
+	Rest    io.Reader
+	Chunked bool          // the body is sent in chunks, because its length is not known
+	NoBody  bool          // the method is HEAD, so that the answer has no body
+	MaxIdle time.Duration // an idle connection is used only when it has been idle for less
+}
+
+// Answer is a backend server's answer.
+type Answer struct {
+	Marks
+	Status int
+	Header http.Header
+	Body   []byte        // whole when Rest is nil, else its first bytes
+	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered
+	Length int64         // of the whole body, in bytes; -1 when not known
+}
+
+// Failure is an exchange without a whole answer.
+type Failure struct {
+	Step    string
+	Peer    string
+	Sent    bool // bytes of the request were written, so that it may have run
+	Reused  bool // the connection had been idle
+	Dialed  bool // the failure is that no connection could be opened
+	Partial bool // an answer had begun
+	Err     error
+}
+
+// Error names the step and the peer.
+func (f *Failure) Error() string { return f.Step + " " + f.Peer + ": " + f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Do carries out one exchange. When ctx ends, the connection is closed at once, which cancels the request at the server.
+// Errors are of type *Failure.
+func (p *Pool) Do(ctx context.Context, d Dialect, r *Request) (*Answer, error) {
+	key := serverKey{r.Server, r.Address}
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	c, err := p.get(dialing, key, r.MaxIdle)
+	cancel()
+	if err != nil {
+		return nil, &Failure{Step: "connect", Peer: r.Address, Dialed: true, Err: err}
+	}
+	reused := c.used
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	x := &exchange{pool: p, key: key, conn: c, dialect: d, request: r, stop: stop}
+	a, err := x.run()
+	if err == nil {
+		return a, nil
+	}
+	stop()
+	c.Close()
+	f := err.(*Failure)
+	f.Reused = reused
+	if ctx.Err() != nil {
+		f.Err = ctx.Err()
+	}
+	return nil, f
+}
+
+// exchange is one exchange in progress.
+type exchange struct {
+	pool    *Pool
+	key     serverKey
+	conn    *conn
+	dialect Dialect
+	request *Request
+	stop    func() bool // detaches the connection from the caller's context
+}
+
+func (x *exchange) fail(step string, sent, partial bool, err error) *Failure {
+	return &Failure{Step: step, Peer: x.request.Address, Sent: sent, Partial: partial, Err: err}
+}
+
+func (x *exchange) run() (*Answer, error) {
+	written := make(chan error, 1)
+	if x.request.Rest == nil {
+		if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
+			return nil, x.fail("send to", n > 0, false, err)
+		}
+		written <- nil
+	} else {
+		go func() { written <- x.writeLong() }()
+	}
+	resp, marks, err := x.readHead()
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{Marks: marks, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBuffered+1))
+	if err != nil {
+		return nil, x.fail("read answer of", true, true, err)
+	}
+	a.Body = body
+	if len(body) > MaxBuffered {
+		a.Rest = &restReader{x: x, resp: resp}
+		return a, nil
+	}
+	x.finish(resp, written)
+	return a, nil
+}
+
+// writeLong writes a request whose body is not held whole. The server may answer before it has read it.
+func (x *exchange) writeLong() error {
+	if _, err := x.conn.Write(x.request.Head); err != nil {
+		return err
+	}
+	if !x.request.Chunked {
+		return x.copyBody(x.conn)
+	}
+	chunks := httputil.NewChunkedWriter(x.conn)
+	if err := x.copyBody(chunks); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(x.conn, "\r\n")
+	return err
+}
+
+func (x *exchange) copyBody(w io.Writer) error {
+	if _, err := w.Write(x.request.Body); err != nil {
+		return err
+	}
+	_, err := io.Copy(w, x.request.Rest)
+	return err
+}
+
+// readHead reads the head of the answer to this request, and passes over informational answers and late answers to
+// earlier requests.
+func (x *exchange) readHead() (*http.Response, Marks, error) {
+	method := http.MethodGet
+	if x.request.NoBody {
+		method = http.MethodHead
+	}
+	for range maxStrays {
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, Marks{}, x.fail("read answer of", true, false, err)
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		marks := x.dialect.Inspect(resp.Header, resp.StatusCode)
+		if marks.RequestID == "" || marks.RequestID == x.request.ID {
+			return resp, marks, nil
+		}
+		x.pool.Stats.Strays.Add(1)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			return nil, Marks{}, x.fail("pass over a stray answer of", true, false, errors.Errorf("for request %s", marks.RequestID))
+		}
+	}
+	return nil, Marks{}, x.fail("read answer of", true, false, errors.New("too many answers to other requests"))
+}
+
+// finish returns the connection to the pool when both sides are done with the exchange and the server keeps it open.
+func (x *exchange) finish(resp *http.Response, written chan error) {
+	if !x.stop() {
+		return // ctx ended just now, and the connection is closed
+	}
+	done := false
+	select {
+	case err := <-written:
+		done = err == nil
+	default:
+	}
+	if !done || resp.Close || x.conn.reader.Buffered() > 0 {
+		x.conn.Close()
+		return
+	}
+	x.conn.learnIdle(resp.Header)
+	x.pool.put(x.key, x.conn)
+}
+
+// restReader streams the rest of a large answer and closes the connection at the end.
+type restReader struct {
+	x    *exchange
+	resp *http.Response
+}
+
+func (r *restReader) Read(b []byte) (int, error) { return r.resp.Body.Read(b) }
+
+func (r *restReader) Close() error {
+	r.x.stop()
+	return r.x.conn.Close()
+}
+
+// Head returns the request line and headers of a request in wire form.
+func Head(method, target, host string, h http.Header) []byte {
+	var b bytes.Buffer
+	b.WriteString(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	_ = h.Write(&b) // a bytes.Buffer does not fail
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/transport/front/front.go
@@ -0,0 +1,156 @@
+// Package front carries callers' requests to backend servers by the routing table in force: it matches the route, lets
+// placement choose the server, sends the request again where that is allowed, and passes the answer on whole.
+package front
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quota"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+	"azurebridge/transport/backendconn"
+)
+
+// Caller is what the headers of a caller's request say.
+type Caller struct {
+	RequestID string
+	Object    string        // key of the object that the request concerns; empty for none
+	Patience  time.Duration // how long the caller waits; 0 when it does not say
+}
+
+// Dialect translates the platform's headers.
+type Dialect interface {
+	backendconn.Dialect
+	// Identify reads a caller's request.
+	Identify(h http.Header) Caller
+	// Address marks a request for one backend server and tells it how long the answer is wanted.
+	Address(h http.Header, server state.BackendName, left time.Duration)
+}
+
+// Options are the inputs of a Manager.
+type Options struct {
+	Loop    *catalog.Loop
+	Pool    *backendconn.Pool
+	Dialect Dialect
+	Region  state.RegionName
+	Domain  state.DomainName
+	Retry   quota.RetryLimit
+	Log     hclog.Logger
+}
+
+// Manager serves callers. It is safe for concurrent use.
+type Manager struct {
+	opts  Options
+	sizes answerSizes
+	log   *decisionLog
+	Stats Stats
+}
+
+// Stats counts requests by their end, and what was done for them.
+type Stats struct {
+	Requests  atomic.Uint64
+	Served    atomic.Uint64
+	Passed    atomic.Uint64 // failures of a backend server that were passed on
+	Refused   atomic.Uint64 // told "not run"
+	Failed    atomic.Uint64 // may have run, and no answer of a backend server
+	TimedOut  atomic.Uint64
+	NoRoute   atomic.Uint64
+	Left      atomic.Uint64 // callers that left
+	Cut       atomic.Uint64 // answers cut because the server broke off
+	Retries   atomic.Uint64
+	NoBudget  atomic.Uint64 // retries not sent because the budget was used
+	InService atomic.Int64
+}
+
+// New returns a manager.
+func New(opts Options) *Manager {
+	return &Manager{opts: opts, log: newDecisionLog(opts.Log)}
+}
+
+// ServeHTTP carries one request.
+func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.Stats.Requests.Add(1)
+	m.Stats.InService.Add(1)
+	defer m.Stats.InService.Add(-1)
+	v := m.opts.Loop.View()
+	q := &request{
+		m: m, w: w, r: r, view: v, arrived: m.opts.Loop.Now(),
+		caller: m.opts.Dialect.Identify(r.Header),
+	}
+	if v.Table == nil {
+		q.refuse("no routing table", noTableRetry)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	q.route = v.Table.Match(hostName(r.Host), path)
+	if q.route == nil {
+		m.Stats.NoRoute.Add(1)
+		q.answerOwn(http.StatusNotFound, "no route", 0)
+		return
+	}
+	q.limit = q.route.Timeout
+	if q.caller.Patience > 0 {
+		q.limit = min(q.limit, q.caller.Patience)
+	}
+	if !q.readBody(v.Table.Limits) {
+		return
+	}
+	q.service = q.route.Part(rand.Float64())
+	q.carry()
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// answerSizes remembers how large the answers of each route are.
+type answerSizes struct {
+	byRoute atomic.Pointer[map[string]float64]
+}
+
+// Sizes of answers.
+const (
+	// bulkBytes is the mean size from which answers cost more on long links than a cold backend server costs time.
+	bulkBytes = 16 << 10
+	// sizeWeight is the weight of the newest answer in the mean.
+	sizeWeight = 0.1
+)
+
+func (s *answerSizes) learn(route *routing.Route, size int) {
+	old := s.byRoute.Load()
+	if old == nil {
+		old = &map[string]float64{}
+	}
+	mean, known := (*old)[route.Prefix]
+	if !known {
+		mean = float64(size)
+	}
+	next := mean + sizeWeight*(float64(size)-mean)
+	if known && (mean > bulkBytes) == (next > bulkBytes) && abs(next-mean) < mean/50 {
+		return
+	}
+	changed := make(map[string]float64, len(*old)+1)
+	for k, v := range *old {
+		changed[k] = v
+	}
+	changed[route.Prefix] = next
+	s.byRoute.Store(&changed)
+}
+
+func (s *answerSizes) bulk(route *routing.Route) bool {
+	known := s.byRoute.Load()
+	return known != nil && (*known)[route.Prefix] > bulkBytes
+}
+
+func abs(x float64) float64 { return max(x, -x) }
--- /dev/null
+++ b/transport/front/request.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// Bounds of a caller's request.
+const (
+	// maxHeldBody is the size up to which a request's body is held, so that it can be sent again, in bytes.
+	maxHeldBody = 1 << 20
+	// noTableRetry is when a caller may come back to an instance that has just started.
+	noTableRetry = 500 * time.Millisecond
+)
+
+// request is one caller's request in progress. One goroutine owns it.
+type request struct {
+	m       *Manager
+	w       http.ResponseWriter
+	r       *http.Request
+	view    *catalog.View
+	arrived state.Instant
+	caller  Caller
+	route   *routing.Route // nil until matched
+	service state.ServiceName
+	limit   time.Duration // from arrival to the final answer
+	body    []byte        // whole, or its first maxHeldBody bytes
+	rest    io.Reader     // nil when body is whole
+	tried   []state.BackendName
+	sent    int    // times that a backend server got the request
+	ran     bool   // the request has run or may have run
+	last    string // how the last exchange ended
+}
+
+// readBody reads the body. It answers and returns false when the request breaks a limit or cannot be read.
+func (q *request) readBody(limits routing.Limits) bool {
+	if limits.MaxHeader > 0 && headerSize(q.r) > limits.MaxHeader {
+		q.answerOwn(http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
+		return false
+	}
+	if limits.MaxBody > 0 && q.r.ContentLength > limits.MaxBody {
+		q.answerOwn(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return false
+	}
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	body := io.Reader(q.r.Body)
+	if limits.MaxBody > 0 {
+		body = http.MaxBytesReader(q.w, q.r.Body, limits.MaxBody)
+	}
+	var b bytes.Buffer
+	_, err := io.CopyN(&b, body, maxHeldBody)
+	q.body = b.Bytes()
+	switch {
+	case err == nil:
+		q.rest = body
+	case err != io.EOF:
+		q.m.Stats.Left.Add(1)
+		q.log("body not read", "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	return true
+}
+
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// left returns the time until the request's final answer is due.
+func (q *request) left() time.Duration {
+	return q.limit - q.m.opts.Loop.Now().Sub(q.arrived)
+}
+
+// context ends when the answer is overdue, and when the caller leaves if the request may be cancelled. A request that
+// must not be repeated goes on: it may already have taken effect.
+func (q *request) context() (context.Context, context.CancelFunc) {
+	ctx := q.r.Context()
+	if !q.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, q.left()+overdue)
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// forwarded returns the headers for a backend server.
+func (q *request) forwarded(server *catalog.Server) http.Header {
+	h := endToEnd(q.r.Header)
+	h.Del("Content-Length")
+	switch {
+	case q.r.ContentLength > 0 && q.rest != nil:
+		h.Set("Content-Length", strconv.FormatInt(q.r.ContentLength, 10))
+	case q.rest != nil:
+		h.Set("Transfer-Encoding", "chunked")
+	case len(q.body) > 0 || q.r.Method == http.MethodPost || q.r.Method == http.MethodPut || q.r.Method == http.MethodPatch:
+		h.Set("Content-Length", strconv.Itoa(len(q.body)))
+	}
+	q.m.opts.Dialect.Address(h, server.Name, q.left())
+	return h
+}
