--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -46,7 +46,8 @@
 	servers   map[string]*member // by key
 	evacuated map[string]Evacuation
 	peers     map[string]*routing.Peer
-	budgets   map[state.ServiceName]*quota.RetryBudget
+	counters  map[state.ServiceName]*Counters
+	fleetKey  []byte
 	lost      bool
 	lostUntil state.Instant // when the outage of the store ended, plus outageTail
 	stopping  bool
@@ -76,7 +77,7 @@
 func NewCore(opts Options) *Core {
 	return &Core{
 		opts: opts, servers: make(map[string]*member), evacuated: make(map[string]Evacuation),
-		peers: make(map[string]*routing.Peer), budgets: make(map[state.ServiceName]*quota.RetryBudget), dirty: true,
+		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), dirty: true,
 	}
 }
 
@@ -166,6 +167,8 @@
 			c.evacuate(it.Key, f)
 		case *routing.Peer:
 			c.peers[it.Key] = f
+		case FleetKey:
+			c.fleetKey = f
 		case nil:
 			c.remove(now, it.Key, grace)
 		}
@@ -296,7 +299,7 @@
 	c.dirty = false
 	v := &View{
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.most, StoreLost: c.lost,
-		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool),
+		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey,
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
@@ -323,7 +326,7 @@
 	}
 	s := v.Services[m.Service]
 	if s == nil {
-		s = &Service{Budget: c.budget(m.Service)}
+		s = &Service{Counters: c.countersOf(m.Service)}
 		v.Services[m.Service] = s
 	}
 	var rate float64
@@ -337,11 +340,11 @@
 	})
 }
 
-func (c *Core) budget(name state.ServiceName) *quota.RetryBudget {
-	b := c.budgets[name]
-	if b == nil {
-		b = &quota.RetryBudget{}
-		c.budgets[name] = b
+func (c *Core) countersOf(name state.ServiceName) *Counters {
+	n := c.counters[name]
+	if n == nil {
+		n = &Counters{}
+		c.counters[name] = n
 	}
-	return b
+	return n
 }
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -9,7 +9,7 @@
 	"azurebridge/state"
 )
 
-// Fact is what one item of the store says: *routing.Table, *routing.Backend, Evacuation or *routing.Peer. The ColdUntil of
+// Fact is what one item of the store says: *routing.Table, *routing.Backend, Evacuation, *routing.Peer or FleetKey. The ColdUntil of
 // a backend server is measured from zero and becomes an instant when the fact arrives.
 type Fact any
 
@@ -18,6 +18,9 @@
 	Domain state.DomainName
 }
 
+// FleetKey is the secret that signs messages between instances.
+type FleetKey []byte
+
 // Item is the state of one key of the store. A nil Fact means that the key is gone or names nothing usable.
 type Item struct {
 	Key  string
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -8,6 +8,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/state"
@@ -23,6 +24,7 @@
 	Domain  state.DomainName // of the instance
 	Bulk    bool             // answers are so large that distance costs more than warmth gains
 	Tried   []state.BackendName
+	Left    time.Duration  // until the answer is due at the latest
 	Draw    func() float64 // random number from 0 (included) to 1 (excluded)
 }
 
@@ -31,20 +33,30 @@
 
 // Reasons of a refusal.
 const (
-	Chosen    Reason = iota
-	NoServers        // the service has no server that the route allows
-	Exhausted        // every server that the route allows has been tried
-	Limited          // what is left is cold and takes no more for now
+	Chosen     Reason = iota
+	NoServers         // the service has no server that the route allows
+	Exhausted         // every server that the route allows has been tried
+	Limited           // what is left is cold and takes no more for now
+	Overloaded        // every server would answer too late
 )
 
 // String returns the reason's name in log lines.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no-servers", "exhausted", "limited"}[r]
+	return [...]string{"chosen", "no-servers", "exhausted", "limited", "overloaded"}[r]
 }
 
-// spread is the number of servers, first in an object's order, among which a request looks for room before it takes the
-// one that is used least.
-const spread = 4
+// Use of servers, in requests for each slot.
+const (
+	// spread is the number of servers, first in an object's order, that share its requests. More would share the load better
+	// but each server remembers a bounded number of objects, and forgets some when it is given too many.
+	spread = 2
+	// enough is the use up to which a server is taken without looking at the next one: a short wait at a server that knows
+	// the object costs less than the work at one that does not.
+	enough = 1.5
+	// lateFactor is the expected time, in target latencies, from which a request is refused at once: a late answer has
+	// little value and takes the place of one in time.
+	lateFactor = 2
+)
 
 // distance classes of a server, nearest first.
 const (
@@ -69,6 +81,9 @@
 	for len(usable) > 0 {
 		i := pick(usable, r, now)
 		c := usable[i]
+		if work := s.Time.Estimate(); expected(c.server, work, now) > r.latest(work) {
+			return nil, Overloaded
+		}
 		if !now.Before(c.server.LimitedUntil) || c.server.Gauge.Pace.Take(now) {
 			return c.server, Chosen
 		}
@@ -77,6 +92,21 @@
 	return nil, Limited
 }
 
+// queueFactor is the expected time, in service times, that a request is always allowed: where the work alone takes longer
+// than wanted, short queues keep the servers busy.
+const queueFactor = 1.5
+
+// latest returns the expected time from which a request is refused.
+func (r *Request) latest(work time.Duration) time.Duration {
+	return max(min(lateFactor*r.Route.TargetLatency, r.Left), time.Duration(queueFactor*float64(work)))
+}
+
+// expected returns when the server is expected to answer one more request.
+func expected(s *catalog.Server, work time.Duration, now state.Instant) time.Duration {
+	use := (s.Gauge.Load(now) + 1) / float64(max(1, s.Slots))
+	return time.Duration(float64(work) * max(1, use))
+}
+
 // candidate is a server with its place in the order of the request's object.
 type candidate struct {
 	server   *catalog.Server
@@ -160,7 +190,7 @@
 		}
 		slots := float64(max(1, list[i].server.Slots))
 		use := (list[i].server.Gauge.Load(now) + 1) / slots
-		if use <= 1 {
+		if use <= enough {
 			return i
 		}
 		if use < least {
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -81,7 +81,7 @@
 	}
 	server, reason := placement.Choose(q.view, &placement.Request{
 		Service: q.service, Object: q.object(), Route: q.route, Region: m.opts.Region, Domain: m.opts.Domain,
-		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Draw: rand.Float64,
+		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Draw: rand.Float64, Left: q.left(),
 	}, now)
 	if server == nil {
 		q.last = reason.String()
@@ -124,8 +124,8 @@
 // exchange sends the request to a server and reports the outcome to the control goroutine.
 func (q *request) exchange(ctx context.Context, server *catalog.Server) (reply, error) {
 	m := q.m
-	server.Gauge.Running.Add(1)
-	defer server.Gauge.Running.Add(-1)
+	server.Gauge.Begin()
+	defer server.Gauge.End()
 	start := m.opts.Loop.Now()
 	idle := safeIdle
 	if q.route.Idempotent {
@@ -146,10 +146,13 @@
 	if !a.WrongServer {
 		q.sent++
 	}
+	out := reply{a}
 	if a.HasLoad {
-		server.Gauge.Report(now, a.Running, a.Waiting)
+		server.Gauge.Report(now, a.Running+a.Waiting)
+	}
+	if out.good() && !a.NotRun {
+		q.view.Services[q.service].Time.Learn(took, server.Gauge.Load(now), server.Slots)
 	}
-	out := reply{a}
 	outcome := catalog.Answered
 	switch {
 	case a.WrongServer:
--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -67,7 +67,7 @@
 		return
 	}
 	q.m.log.log.Info("request served", append(q.fields(), "server", string(server.Name), "domain", string(server.Domain),
-		"load", server.Gauge.Load(q.m.opts.Loop.Now()))...)
+		"load", server.Gauge.Load(q.m.opts.Loop.Now()), "work_ms", q.workEstimate().Milliseconds())...)
 }
 
 func (q *request) fields() []any {
@@ -80,3 +80,11 @@
 	}
 	return out
 }
+
+// workEstimate is how long the servers of the request's service are expected to work on it.
+func (q *request) workEstimate() time.Duration {
+	if s := q.view.Services[q.service]; s != nil {
+		return s.Time.Estimate()
+	}
+	return 0
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -81,6 +81,9 @@
 	m.Stats.InService.Add(1)
 	defer m.Stats.InService.Add(-1)
 	v := m.opts.Loop.View()
+	if v.Stopping {
+		w.Header().Set("Connection", "close")
+	}
 	q := &request{
 		m: m, w: w, r: r, view: v, arrived: m.opts.Loop.Now(),
 		caller: m.opts.Dialect.Identify(r.Header),
