--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/gossip"
 	"azurebridge/coordination/quota"
 	"azurebridge/platform"
 	"azurebridge/protocol/settings"
@@ -28,6 +30,7 @@
 	"azurebridge/transport/eventlog"
 	"azurebridge/transport/front"
 	"azurebridge/transport/metastore"
+	"azurebridge/transport/peers"
 )
 
 // Times of the callers' servers.
@@ -54,7 +57,10 @@
 	registrar *metastore.Registrar
 	pool      *backendconn.Pool
 	front     *front.Manager
+	peers     *peers.Node
 	callers   *http.Server
+	conns     *front.Conns // of callers
+	listener  net.Listener // of callers
 }
 
 // run serves until a signal and then stops without cutting requests.
@@ -66,10 +72,15 @@
 	if cfg.Limits.MemoryMegabyte > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMegabyte<<20) * memoryShare))
 	}
-	return newProgram(cfg).serve()
+	p, err := newProgram(cfg)
+	if err != nil {
+		return err
+	}
+	return p.serve()
 }
 
-func newProgram(cfg *settings.Front) *program {
+// newProgram wires the parts. Nothing runs before serve.
+func newProgram(cfg *settings.Front) (*program, error) {
 	p := &program{cfg: cfg, lines: eventlog.NewWriter(os.Stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.lines,
@@ -83,7 +94,11 @@
 		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(),
 	}
 	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
-	p.follower = metastore.NewFollower(p.store, p.loop, p.log.Named("store"))
+	p.follower = metastore.NewFollower(metastore.FollowerOptions{
+		Store: p.store, To: p.loop, Log: p.log.Named("store"),
+		Wait: func() time.Duration { return gossip.WatchWait(p.loop.View().Instances, rand.Float64()) },
+		Tell: func(revision uint64) { p.peers.Tell(revision) },
+	})
 	p.registrar = metastore.NewRegistrar(p.store, p.log.Named("store"))
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
@@ -91,11 +106,17 @@
 		Retry: quota.RetryLimit{Ratio: cfg.Limits.RetryRatio, Extra: cfg.Limits.RetryExtra, Window: cfg.Limits.RetryWindow},
 		Log:   p.log.Named("front"),
 	})
+	p.conns = front.NewConns()
 	p.callers = &http.Server{
-		Handler: p.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: p.front, ConnState: p.conns.State, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	return p
+	var err error
+	p.peers, err = peers.New(peers.Options{
+		Self: cfg.Name, Region: cfg.Region, Listen: cfg.Peers, Loop: p.loop, Log: p.log.Named("peers"),
+		Newer: p.follower.Newer,
+	})
+	return p, err
 }
 
 // serve runs the servers and workers until a signal.
@@ -105,22 +126,10 @@
 	logged := make(chan struct{})
 	go func() { p.lines.Run(ctx); close(logged) }()
 	failed := make(chan error, 3)
-	servers := []struct {
-		address netip.AddrPort
-		server  *http.Server
-	}{
-		{p.cfg.Callers, p.callers},
-		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Directory, &http.Server{Handler: platform.Directory(p.loop.View, p.cfg.Callers.String(), p.cfg.Limits.LookupTTL), ReadHeaderTimeout: headerTimeout}},
-	}
-	for _, s := range servers {
-		ln, err := net.Listen("tcp", s.address.String())
-		if err != nil {
-			return errors.Wrap(err, "listen")
-		}
-		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
+	if err := p.listen(failed); err != nil {
+		return err
 	}
-	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep} {
+	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run} {
 		go work(ctx)
 	}
 	signals := make(chan os.Signal, 1)
@@ -137,6 +146,30 @@
 	return nil
 }
 
+// listen opens the listeners and serves them.
+func (p *program) listen(failed chan<- error) error {
+	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), p.cfg.Limits.LookupTTL)
+	for _, s := range []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{p.cfg.Callers, p.callers},
+		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Directory, &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}},
+	} {
+		ln, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		if s.server == p.callers {
+			ln = p.conns.Listener(ln)
+			p.listener = ln
+		}
+		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
+	}
+	return nil
+}
+
 // ready reports whether the instance takes new callers.
 func (p *program) ready() bool {
 	v := p.loop.View()
@@ -153,6 +186,7 @@
 		case <-time.After(check):
 		}
 	}
+	go metastore.EnsureFleetKey(ctx, p.store, func() bool { return p.loop.View().FleetKey != nil }, p.log.Named("store"))
 	p.registrar.Run(ctx)
 }
 
--- a/cmd/azb-front/stop.go
+++ b/cmd/azb-front/stop.go
@@ -5,27 +5,32 @@
 	"time"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/internal/wait"
 )
 
 // Times of the planned stop, within the grace of the settings.
 const (
 	// stopMargin is left of the grace when requests in flight are given up.
 	stopMargin = 300 * time.Millisecond
-	// lookupLag is how long callers go on to come here after the instance has left the look-ups.
+	// lookupLag is how long after the end of their look-up's time to live callers may still come here.
 	lookupLag = 500 * time.Millisecond
+	// stopCheck is the time between looks at the connections that are still busy.
+	stopCheck = 20 * time.Millisecond
 )
 
 // stop leaves the look-ups, goes on to take callers that have not heard of it, and ends when no request is in flight.
 func (p *program) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Limits.StopGrace-stopMargin)
+	defer cancel()
 	start := time.Now()
 	p.log.Info("planned stop begins", "requests", p.front.Stats.InService.Load())
 	p.loop.Tell(ctx, catalog.Stopping{})
 	p.registrar.Leave(ctx)
-	p.callers.SetKeepAlivesEnabled(false)
-	grace := p.cfg.Limits.StopGrace - stopMargin
-	time.Sleep(min(p.cfg.Limits.LookupTTL+lookupLag, grace/2))
-	ctx, cancel := context.WithTimeout(ctx, grace-time.Since(start))
-	defer cancel()
-	err := p.callers.Shutdown(ctx)
-	p.log.Info("planned stop ends", "requests", p.front.Stats.InService.Load(), "whole", err == nil, "ms", time.Since(start).Milliseconds())
+	wait.For(ctx, min(p.cfg.Limits.LookupTTL+lookupLag, p.cfg.Limits.StopGrace/2)-time.Since(start))
+	if err := p.listener.Close(); err != nil {
+		p.log.Warn("listener of callers not closed", "error", err.Error())
+	}
+	for p.conns.CloseIdle() > 0 && wait.For(ctx, stopCheck) {
+	}
+	p.log.Info("planned stop ends", "requests", p.front.Stats.InService.Load(), "ms", time.Since(start).Milliseconds())
 }
