--- /dev/null
+++ b/protocol/gossipwire/gossipwire.go
@@ -0,0 +1,69 @@
+// Package gossipwire encodes messages between instances as signed datagrams: CBOR, followed by a truncated HMAC-SHA256.
+package gossipwire
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/gossip"
+	"azurebridge/state"
+)
+
+// Sizes of a datagram, in bytes.
+const (
+	MaxSize = 512
+	macSize = 16
+)
+
+type frame struct {
+	_        struct{} `cbor:",toarray"`
+	From     string
+	Region   string
+	Revision uint64
+}
+
+// Encode returns the datagram of a message. It fails when the message is too large or no key is known.
+func Encode(key []byte, m *gossip.Message) ([]byte, error) {
+	if len(key) == 0 {
+		return nil, errors.New("encode message: no fleet key")
+	}
+	f := frame{From: string(m.From), Region: string(m.Region), Revision: m.Revision}
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	if len(data)+macSize > MaxSize {
+		return nil, errors.Errorf("encode message: %d bytes, limit is %d", len(data)+macSize, MaxSize)
+	}
+	return append(data, sign(key, data)...), nil
+}
+
+// Decode checks the signature of a datagram and returns its message.
+func Decode(key, datagram []byte) (*gossip.Message, error) {
+	if len(key) == 0 {
+		return nil, errors.New("decode message: no fleet key")
+	}
+	if len(datagram) <= macSize {
+		return nil, errors.New("decode message: too short")
+	}
+	data, mac := datagram[:len(datagram)-macSize], datagram[len(datagram)-macSize:]
+	if !hmac.Equal(mac, sign(key, data)) {
+		return nil, errors.New("decode message: wrong signature")
+	}
+	var f frame
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	return &gossip.Message{
+		From: state.InstanceName(f.From), Region: state.RegionName(f.Region), Revision: f.Revision,
+	}, nil
+}
+
+func sign(key, data []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(data)
+	return h.Sum(nil)[:macSize]
+}
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -14,9 +14,7 @@
 
 // Times of the follower.
 const (
-	// watchWait is how long the store holds a watch without changes: calls are counted, so long waits are cheap.
-	watchWait = 20 * time.Second
-	// watchSlack is how much longer than watchWait the call may take.
+	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 2 * time.Second
 	// listTimeout bounds a listing.
 	listTimeout = 2 * time.Second
@@ -25,6 +23,15 @@
 	// firstBackoff and longestBackoff space the calls to a store that does not answer. Refused calls are counted, too.
 	firstBackoff   = 200 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
+	// behindTime is how long another instance may know a newer revision before the follower lists again: mostly the watch
+	// brings it meanwhile.
+	behindTime = 150 * time.Millisecond
+)
+
+// Reasons to list the store again.
+var (
+	errBehind = errors.New("another instance knows a newer revision")
+	errMissed = errors.New("the revision has grown without changes")
 )
 
 // Teller takes the events of the store.
@@ -32,12 +39,22 @@
 	Tell(ctx context.Context, ev catalog.Event)
 }
 
+// FollowerOptions are the inputs of a Follower.
+type FollowerOptions struct {
+	Store Store
+	To    Teller
+	Wait  func() time.Duration  // how long the next watch waits for changes
+	Tell  func(revision uint64) // told when a listing has brought more than the watches
+	Log   hclog.Logger
+}
+
 // Follower passes the content of the store and its changes to the control goroutine.
 type Follower struct {
-	store Store
-	to    Teller
-	log   hclog.Logger
+	opts  FollowerOptions
 	Stats FollowerStats
+
+	at     atomic.Uint64 // revision up to which this instance knows the store
+	relist chan struct{} // asks Run to list again
 }
 
 // FollowerStats counts the follower's calls.
@@ -46,11 +63,29 @@
 	Watches   atomic.Uint64
 	Failures  atomic.Uint64
 	Compacted atomic.Uint64
+	Behind    atomic.Uint64 // watches that have missed changes
 }
 
 // NewFollower returns a follower; Run starts it.
-func NewFollower(store Store, to Teller, log hclog.Logger) *Follower {
-	return &Follower{store: store, to: to, log: log}
+func NewFollower(opts FollowerOptions) *Follower {
+	return &Follower{opts: opts, relist: make(chan struct{}, 1)}
+}
+
+// Newer tells that another instance knows the store up to a revision. When the watch does not bring it soon, the follower
+// lists again.
+func (f *Follower) Newer(revision uint64) {
+	if revision <= f.at.Load() {
+		return
+	}
+	time.AfterFunc(behindTime, func() {
+		if revision <= f.at.Load() {
+			return
+		}
+		select {
+		case f.relist <- struct{}{}:
+		default: // already asked
+		}
+	})
 }
 
 // Run follows the store until ctx ends.
@@ -69,9 +104,13 @@
 		switch {
 		case err == nil:
 			backoff = firstBackoff
+		case errors.Is(err, errBehind), errors.Is(err, errMissed):
+			f.Stats.Behind.Add(1)
+			f.opts.Log.Warn("watch has missed changes; listing the store again", "revision", uint64(at), "why", err.Error())
+			listed = false
 		case errors.Is(err, ErrCompacted):
 			f.Stats.Compacted.Add(1)
-			f.log.Warn("history of the store is gone; listing again", "revision", uint64(at))
+			f.opts.Log.Warn("history of the store is gone; listing again", "revision", uint64(at))
 			listed = false
 		default:
 			f.fail(ctx, err)
@@ -87,36 +126,64 @@
 	f.Stats.Lists.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, at, err := f.store.List(ctx)
+	items, at, err := f.opts.Store.List(ctx)
 	if err != nil {
 		return 0, err
 	}
-	f.to.Tell(ctx, catalog.StoreRegained{})
-	f.to.Tell(ctx, catalog.Listed{Items: items})
+	f.opts.To.Tell(ctx, catalog.StoreRegained{})
+	f.opts.To.Tell(ctx, catalog.Listed{Items: items})
+	f.at.Store(uint64(at))
+	f.opts.Tell(uint64(at))
 	return at, nil
 }
 
 func (f *Follower) watch(ctx context.Context, after Revision) (Revision, error) {
 	f.Stats.Watches.Add(1)
-	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	pause := f.opts.Wait()
+	call, cancel := context.WithTimeout(ctx, pause+watchSlack)
 	defer cancel()
-	items, at, err := f.store.Watch(call, after, watchWait)
+	items, at, err := f.interruptible(call, cancel, after, pause)
 	if err != nil {
 		return after, err
 	}
-	f.to.Tell(ctx, catalog.StoreRegained{})
+	if len(items) == 0 && at > after {
+		return after, errMissed
+	}
+	f.at.Store(uint64(at))
+	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	if len(items) > 0 {
-		f.to.Tell(ctx, catalog.Changed{Items: items})
+		f.opts.To.Tell(ctx, catalog.Changed{Items: items})
 		wait.For(ctx, settle)
 	}
 	return at, nil
 }
 
+// interruptible watches the store until it answers or Newer asks for a new listing.
+func (f *Follower) interruptible(ctx context.Context, cancel func(), after Revision, pause time.Duration) ([]catalog.Item, Revision, error) {
+	done := make(chan struct{})
+	asked := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.relist:
+			cancel()
+			asked <- true
+		case <-done:
+			asked <- false
+		}
+	}()
+	items, at, err := f.opts.Store.Watch(ctx, after, pause)
+	close(done)
+	if <-asked {
+		return nil, 0, errBehind
+	}
+	return items, at, err
+}
+
 func (f *Follower) fail(ctx context.Context, err error) {
 	f.Stats.Failures.Add(1)
 	if ctx.Err() != nil {
 		return
 	}
-	f.log.Warn("store does not answer", "error", err.Error())
-	f.to.Tell(ctx, catalog.StoreLost{})
+	f.opts.Log.Warn("store does not answer", "error", err.Error())
+	f.opts.To.Tell(ctx, catalog.StoreLost{})
 }
--- a/transport/metastore/metastore.go
+++ b/transport/metastore/metastore.go
@@ -19,6 +19,8 @@
 	ErrCompacted = errors.New("history is no longer available")
 	// ErrNoLease says that the lease has ended.
 	ErrNoLease = errors.New("no such lease")
+	// ErrConflict says that a condition of a write did not hold, and that nothing was written.
+	ErrConflict = errors.New("condition does not hold")
 	// ErrRefused says that the store turned the call away and did nothing.
 	ErrRefused = errors.New("store refused the call")
 )
@@ -43,4 +45,6 @@
 	Revoke(ctx context.Context, id LeaseID) error
 	// Register writes the instance's own entry under a lease.
 	Register(ctx context.Context, id LeaseID) error
+	// CreateFleetKey writes the fleet's key unless there is one already.
+	CreateFleetKey(ctx context.Context, key []byte) error
 }
