--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -99,7 +99,7 @@
 		Wait: func() time.Duration { return gossip.WatchWait(p.loop.View().Instances, rand.Float64()) },
 		Tell: func(revision uint64) { p.peers.Tell(revision) },
 	})
-	p.registrar = metastore.NewRegistrar(p.store, p.log.Named("store"))
+	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.follower.Relist, p.log.Named("store"))
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region, Domain: cfg.Domain,
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -30,7 +30,7 @@
 
 // Reasons to list the store again.
 var (
-	errBehind = errors.New("another instance knows a newer revision")
+	errAsked  = errors.New("another instance knows a newer revision, or the store was away")
 	errMissed = errors.New("the revision has grown without changes")
 )
 
@@ -63,7 +63,7 @@
 	Watches   atomic.Uint64
 	Failures  atomic.Uint64
 	Compacted atomic.Uint64
-	Behind    atomic.Uint64 // watches that have missed changes
+	Abandoned atomic.Uint64 // watches that may have missed changes
 }
 
 // NewFollower returns a follower; Run starts it.
@@ -81,13 +81,18 @@
 		if revision <= f.at.Load() {
 			return
 		}
-		select {
-		case f.relist <- struct{}{}:
-		default: // already asked
-		}
+		f.Relist()
 	})
 }
 
+// Relist asks for a new listing, because the watch under way may hear of nothing any more.
+func (f *Follower) Relist() {
+	select {
+	case f.relist <- struct{}{}:
+	default: // already asked
+	}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := firstBackoff
@@ -104,9 +109,9 @@
 		switch {
 		case err == nil:
 			backoff = firstBackoff
-		case errors.Is(err, errBehind), errors.Is(err, errMissed):
-			f.Stats.Behind.Add(1)
-			f.opts.Log.Warn("watch has missed changes; listing the store again", "revision", uint64(at), "why", err.Error())
+		case errors.Is(err, errAsked), errors.Is(err, errMissed):
+			f.Stats.Abandoned.Add(1)
+			f.opts.Log.Warn("watch may have missed changes; listing the store again", "revision", uint64(at), "why", err.Error())
 			listed = false
 		case errors.Is(err, ErrCompacted):
 			f.Stats.Compacted.Add(1)
@@ -158,7 +163,7 @@
 	return at, nil
 }
 
-// interruptible watches the store until it answers or Newer asks for a new listing.
+// interruptible watches the store until it answers or a new listing is asked for.
 func (f *Follower) interruptible(ctx context.Context, cancel func(), after Revision, pause time.Duration) ([]catalog.Item, Revision, error) {
 	done := make(chan struct{})
 	asked := make(chan bool, 1)
@@ -174,7 +179,7 @@
 	items, at, err := f.opts.Store.Watch(ctx, after, pause)
 	close(done)
 	if <-asked {
-		return nil, 0, errBehind
+		return nil, 0, errAsked
 	}
 	return items, at, err
 }
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"azurebridge/coordination/catalog"
 	"azurebridge/internal/wait"
 )
 
@@ -20,29 +21,41 @@
 	callTimeout   = 800 * time.Millisecond
 )
 
-// Registrar keeps this instance's entry in the store while the instance takes requests.
+// Registrar keeps this instance's entry in the store while the instance takes requests. Its regular calls also find out
+// that the store is away while a watch waits.
 type Registrar struct {
-	store Store
-	log   hclog.Logger
+	store    Store
+	to       Teller
+	regained func() // called when the store answers again
+	log      hclog.Logger
 
 	mu      sync.Mutex
 	lease   LeaseID // 0 without one
 	stopped bool
 }
 
-// NewRegistrar returns a registrar; Run starts it.
-func NewRegistrar(store Store, log hclog.Logger) *Registrar {
-	return &Registrar{store: store, log: log}
+// NewRegistrar returns a registrar; Run starts it. It tells to when the store does not answer, and calls regained when it
+// does again.
+func NewRegistrar(store Store, to Teller, regained func(), log hclog.Logger) *Registrar {
+	return &Registrar{store: store, to: to, regained: regained, log: log}
 }
 
 // Run registers the instance and renews its lease until ctx ends or Leave is called.
 func (r *Registrar) Run(ctx context.Context) {
-	registered := false
+	registered, away := false, false
 	for {
 		err := r.step(ctx, &registered)
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && !r.left() {
 			r.log.Warn("entry in the store not renewed", "error", err.Error())
 		}
+		switch answered := err == nil || errors.Is(err, ErrNoLease); {
+		case answered && away:
+			away = false
+			r.regained()
+		case !answered && !away:
+			away = true
+			r.to.Tell(ctx, catalog.StoreLost{})
+		}
 		pause := renewInterval
 		if !registered {
 			pause = renewInterval / 4
