--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -102,7 +102,7 @@
 	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.follower.Relist, p.log.Named("store"))
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
-		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region, Domain: cfg.Domain,
+		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: quota.RetryLimit{Ratio: cfg.Limits.RetryRatio, Extra: cfg.Limits.RetryExtra, Window: cfg.Limits.RetryWindow},
 		Log:   p.log.Named("front"),
 	})
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -21,7 +21,6 @@
 	Object  string // key of the object; empty when the route has no affinity
 	Route   *routing.Route
 	Region  state.RegionName // of the instance
-	Domain  state.DomainName // of the instance
 	Bulk    bool             // answers are so large that distance costs more than warmth gains
 	Tried   []state.BackendName
 	Left    time.Duration  // until the answer is due at the latest
@@ -58,14 +57,6 @@
 	lateFactor = 2
 )
 
-// distance classes of a server, nearest first.
-const (
-	sameDomain = iota
-	sameRegion
-	elsewhere
-	distances
-)
-
 // Choose returns a server for the request, or nil and the reason. It takes the pace of a limited server when it chooses
 // one.
 func Choose(v *catalog.View, r *Request, now state.Instant) (*catalog.Server, Reason) {
@@ -109,9 +100,9 @@
 
 // candidate is a server with its place in the order of the request's object.
 type candidate struct {
-	server   *catalog.Server
-	rank     float64 // lower is earlier
-	distance int
+	server *catalog.Server
+	rank   float64 // lower is earlier
+	far    bool    // in another region
 }
 
 // candidates returns the servers that the request may be sent to. Ejected servers are among them only when all are.
@@ -130,7 +121,7 @@
 			reason = Limited
 			continue
 		}
-		c := candidate{server: s, distance: r.distance(s)}
+		c := candidate{server: s, far: s.Region != r.Region}
 		if now.Before(s.EjectedUntil) {
 			ejected = append(ejected, c)
 			continue
@@ -143,25 +134,18 @@
 	return usable, reason
 }
 
-func (r *Request) distance(s *catalog.Server) int {
-	switch {
-	case s.Domain == r.Domain:
-		return sameDomain
-	case s.Region == r.Region:
-		return sameRegion
-	}
-	return elsewhere
-}
-
 // order sorts the candidates by the weighted rendezvous hash of the object, or at random without one. Bulk requests go
-// to near servers first.
+// to servers of the own region first.
 func order(list []candidate, r *Request) {
 	for i := range list {
 		list[i].rank = r.rank(list[i].server)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if r.Bulk && a.distance != b.distance {
-			return a.distance - b.distance
+		if r.Bulk && a.far != b.far {
+			if b.far {
+				return -1
+			}
+			return 1
 		}
 		if a.rank < b.rank {
 			return -1
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -28,6 +28,7 @@
 	Host          string
 	Prefix        string // begins and ends with a slash
 	Idempotent    bool   // whether a request may run more than once
+	Download      bool   // whether answers are large
 	Timeout       time.Duration
 	TargetLatency time.Duration // an answer within this time has its full value
 	Priority      int           // 0 is the most urgent
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -80,7 +80,7 @@
 		q.view = m.opts.Loop.View()
 	}
 	server, reason := placement.Choose(q.view, &placement.Request{
-		Service: q.service, Object: q.object(), Route: q.route, Region: m.opts.Region, Domain: m.opts.Domain,
+		Service: q.service, Object: q.object(), Route: q.route, Region: m.opts.Region,
 		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Draw: rand.Float64, Left: q.left(),
 	}, now)
 	if server == nil {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -41,7 +41,6 @@
 	Pool    *backendconn.Pool
 	Dialect Dialect
 	Region  state.RegionName
-	Domain  state.DomainName
 	Retry   quota.RetryLimit
 	Log     hclog.Logger
 }
@@ -152,8 +151,12 @@
 }
 
 func (s *answerSizes) bulk(route *routing.Route) bool {
-	known := s.byRoute.Load()
-	return known != nil && (*known)[route.Prefix] > bulkBytes
+	if known := s.byRoute.Load(); known != nil {
+		if mean, ok := (*known)[route.Prefix]; ok {
+			return mean > bulkBytes
+		}
+	}
+	return route.Download
 }
 
 func abs(x float64) float64 { return max(x, -x) }
