--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -19,7 +19,7 @@
 	// listTimeout bounds a listing.
 	listTimeout = 2 * time.Second
 	// settle is the pause after changes, so that changes in quick succession cost one call.
-	settle = 200 * time.Millisecond
+	settle = 500 * time.Millisecond
 	// firstBackoff and longestBackoff space the calls to a store that does not answer. Refused calls are counted, too.
 	firstBackoff   = 200 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
