--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -12,15 +12,16 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
-	"azurebridge/coordination/quota"
 	"azurebridge/platform"
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
@@ -31,6 +32,7 @@
 	"azurebridge/transport/front"
 	"azurebridge/transport/metastore"
 	"azurebridge/transport/peers"
+	"azurebridge/transport/status"
 )
 
 // Times of the callers' servers.
@@ -49,7 +51,10 @@
 // program holds the parts of the process.
 type program struct {
 	cfg       *settings.Front
+	path      string // of the settings file
+	limits    atomic.Pointer[settings.FrontLimits]
 	log       hclog.Logger
+	metrics   metrics.Registry
 	lines     *eventlog.Writer
 	loop      *catalog.Loop
 	store     *platform.Store
@@ -72,7 +77,7 @@
 	if cfg.Limits.MemoryMegabyte > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMegabyte<<20) * memoryShare))
 	}
-	p, err := newProgram(cfg)
+	p, err := newProgram(cfg, path)
 	if err != nil {
 		return err
 	}
@@ -80,14 +85,13 @@
 }
 
 // newProgram wires the parts. Nothing runs before serve.
-func newProgram(cfg *settings.Front) (*program, error) {
-	p := &program{cfg: cfg, lines: eventlog.NewWriter(os.Stdout)}
+func newProgram(cfg *settings.Front, path string) (*program, error) {
+	p := &program{cfg: cfg, path: path, metrics: metrics.NewRegistry(), lines: eventlog.NewWriter(os.Stdout)}
 	p.log = hclog.New(&hclog.LoggerOptions{
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.lines,
 	})
-	core := catalog.NewCore(catalog.Options{
-		Self: cfg.Name, Cold: quota.ColdLimit{Factor: cfg.Limits.ColdFactor, Tolerance: cfg.Limits.ColdTolerance},
-	})
+	p.limits.Store(&cfg.Limits)
+	core := catalog.NewCore(catalog.Options{Self: cfg.Name, Cold: coldLimit(cfg.Limits)})
 	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.Note) { p.log.Info(n.Message, n.Fields...) })
 	self := routing.Peer{
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
@@ -103,8 +107,7 @@
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
-		Retry: quota.RetryLimit{Ratio: cfg.Limits.RetryRatio, Extra: cfg.Limits.RetryExtra, Window: cfg.Limits.RetryWindow},
-		Log:   p.log.Named("front"),
+		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics,
 	})
 	p.conns = front.NewConns()
 	p.callers = &http.Server{
@@ -116,7 +119,11 @@
 		Self: cfg.Name, Region: cfg.Region, Listen: cfg.Peers, Loop: p.loop, Log: p.log.Named("peers"),
 		Newer: p.follower.Newer,
 	})
-	return p, err
+	if err != nil {
+		return nil, err
+	}
+	p.register()
+	return p, nil
 }
 
 // serve runs the servers and workers until a signal.
@@ -125,30 +132,48 @@
 	defer cancel()
 	logged := make(chan struct{})
 	go func() { p.lines.Run(ctx); close(logged) }()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	if err := p.listen(failed); err != nil {
 		return err
 	}
-	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run} {
+	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.watchSettings} {
 		go work(ctx)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	p.log.Info("instance started", "callers", p.cfg.Callers.String(), "region", string(p.cfg.Region), "domain", string(p.cfg.Domain))
-	select {
-	case err := <-failed:
-		return err
-	case <-signals:
+	err := p.await(ctx, signals, failed)
+	if err == nil {
+		p.stop(ctx)
 	}
-	p.stop(ctx)
 	cancel()
 	<-logged
-	return nil
+	return err
+}
+
+// await handles signals until one asks for the planned stop, or a server fails.
+func (p *program) await(ctx context.Context, signals <-chan os.Signal, failed <-chan error) error {
+	for {
+		select {
+		case err := <-failed:
+			p.log.Error("instance ends", "error", err.Error())
+			return err
+		case sig := <-signals:
+			switch sig {
+			case syscall.SIGHUP:
+				p.reload(ctx)
+			case syscall.SIGUSR1:
+				p.writeDump()
+			default:
+				return nil
+			}
+		}
+	}
 }
 
 // listen opens the listeners and serves them.
 func (p *program) listen(failed chan<- error) error {
-	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), p.cfg.Limits.LookupTTL)
+	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
 	for _, s := range []struct {
 		address netip.AddrPort
 		server  *http.Server
@@ -156,6 +181,7 @@
 		{p.cfg.Callers, p.callers},
 		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.cfg.Directory, &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Metrics, &http.Server{Handler: status.Handler(p.metrics, p.dump), ReadHeaderTimeout: headerTimeout}},
 	} {
 		ln, err := net.Listen("tcp", s.address.String())
 		if err != nil {
--- /dev/null
+++ b/cmd/azb-front/status.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"os"
+
+	"github.com/rcrowley/go-metrics"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state/routing"
+	"azurebridge/transport/observe"
+	"azurebridge/transport/status"
+)
+
+// dump is the state of the process for operators.
+type dump struct {
+	Instance  string
+	Table     routing.Version
+	Routes    int
+	StoreLost bool
+	Stopping  bool
+	Evacuated []string
+	Instances int // for shared limits
+	Peers     []routing.Peer
+	Servers   []dumpServer
+	Counters  map[string]int64
+}
+
+type dumpServer struct {
+	routing.Backend
+	Load       float64 // requests at the server, estimated
+	LimitedMS  int64   // how much longer it is treated as cold
+	EjectedMS  int64   // how much longer it is passed over
+	ColdSender bool    // whether this instance may send to it meanwhile
+	WorkMS     int64   // expected time of a request of its service
+}
+
+func (p *program) dump() any {
+	v, now := p.loop.View(), p.loop.Now()
+	d := dump{
+		Instance: string(p.cfg.Name), StoreLost: v.StoreLost, Stopping: v.Stopping, Instances: v.Instances, Peers: v.Peers,
+		Counters: observe.Values(p.metrics),
+	}
+	if v.Table != nil {
+		d.Table, d.Routes = v.Table.Version, len(v.Table.Routes)
+	}
+	for domain := range v.Evacuated {
+		d.Evacuated = append(d.Evacuated, string(domain))
+	}
+	for _, s := range v.Services {
+		for _, m := range s.Servers {
+			d.Servers = append(d.Servers, dumpServer{
+				Backend: m.Backend, Load: m.Gauge.Load(now), LimitedMS: max(0, m.LimitedUntil.Sub(now).Milliseconds()),
+				EjectedMS: max(0, m.EjectedUntil.Sub(now).Milliseconds()), ColdSender: m.ColdSender,
+				WorkMS: s.Time.Estimate().Milliseconds(),
+			})
+		}
+	}
+	return d
+}
+
+func (p *program) writeDump() {
+	if err := status.WriteDump(os.Stderr, p.dump()); err != nil {
+		p.log.Warn("dump not written", "error", err.Error())
+	}
+}
+
+// register adds the counters of all parts to the registry.
+func (p *program) register() {
+	observe.Register(p.metrics, map[string]any{
+		"front": &p.front.Stats, "connections": &p.pool.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
+		"peers": &p.peers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.lines.Dropped,
+	})
+	gauge := func(name string, read func(v *catalog.View) int64) {
+		p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return read(p.loop.View()) }))
+	}
+	gauge("control.table_version", func(v *catalog.View) int64 {
+		if v.Table == nil {
+			return 0
+		}
+		return int64(v.Table.Version)
+	})
+	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
+	gauge("control.store_lost", func(v *catalog.View) int64 {
+		if v.StoreLost {
+			return 1
+		}
+		return 0
+	})
+}
--- a/cmd/azb-front/stop.go
+++ b/cmd/azb-front/stop.go
@@ -20,13 +20,13 @@
 
 // stop leaves the look-ups, goes on to take callers that have not heard of it, and ends when no request is in flight.
 func (p *program) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.Limits.StopGrace-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, p.limits.Load().StopGrace-stopMargin)
 	defer cancel()
-	start := time.Now()
+	start, limits := time.Now(), p.limits.Load()
 	p.log.Info("planned stop begins", "requests", p.front.Stats.InService.Load())
 	p.loop.Tell(ctx, catalog.Stopping{})
 	p.registrar.Leave(ctx)
-	wait.For(ctx, min(p.cfg.Limits.LookupTTL+lookupLag, p.cfg.Limits.StopGrace/2)-time.Since(start))
+	wait.For(ctx, min(limits.LookupTTL+lookupLag, limits.StopGrace/2)-time.Since(start))
 	if err := p.listener.Close(); err != nil {
 		p.log.Warn("listener of callers not closed", "error", err.Error())
 	}
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -100,6 +100,8 @@
 		}
 	case Observed:
 		c.observe(now, ev)
+	case Limits:
+		c.opts.Cold, c.dirty = ev.Cold, true
 	case Stopping:
 		c.stopping, c.dirty = true, true
 	}
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -4,8 +4,7 @@
 package catalog
 
 import (
-	"time"
-
+	"azurebridge/coordination/quota"
 	"azurebridge/state"
 )
 
@@ -46,7 +45,11 @@
 type Observed struct {
 	Server  state.BackendName
 	Outcome Outcome
-	Took    time.Duration // from sending to the answer; 0 without one
+}
+
+// Limits are the limits in force from now on.
+type Limits struct {
+	Cold quota.ColdLimit
 }
 
 // Stopping says that the process has begun its planned stop.
@@ -57,6 +60,7 @@
 func (StoreLost) event()     {}
 func (StoreRegained) event() {}
 func (Observed) event()      {}
+func (Limits) event()        {}
 func (Stopping) event()      {}
 
 // Outcome is how an exchange with a backend server ended.
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -84,6 +84,9 @@
 		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxRate),
 		MemoryMegabyte: s.Int("memory_mb", 0, 0, maxMemory),
 	}
+	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
+		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
+	}
 	out.LogLevel = readLog(f)
 	return out, f.Err()
 }
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -20,6 +20,7 @@
 	if a.Rest == nil && a.Status == http.StatusOK {
 		m.sizes.learn(q.route, len(a.Body))
 	}
+	m.latencies.observe("request.time_ms", q.service, "end", "served", m.opts.Loop.Now().Sub(q.arrived))
 	q.logServed(server)
 	q.write(a)
 }
@@ -68,6 +69,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	q.m.latencies.observe("request.time_ms", q.service, "end", strconv.Itoa(status), q.m.opts.Loop.Now().Sub(q.arrived))
 	q.log("request not served", "status", status, "why", why)
 	body := http.StatusText(status) + ": " + why + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	service := q.view.Services[q.service]
 	if service != nil {
-		service.Budget.Request(q.arrived, q.m.opts.Retry)
+		service.Budget.Request(q.arrived, *q.m.retry.Load())
 	}
 	var failure *backendconn.Answer // a server's own failure, passed on when no other server answers
 	for range maxTries {
@@ -88,7 +88,7 @@
 		return nil, false
 	}
 	if q.sent > 0 {
-		if !q.view.Services[q.service].Budget.Take(now, m.opts.Retry, q.view.Instances) {
+		if !q.view.Services[q.service].Budget.Take(now, *m.retry.Load(), q.view.Instances) {
 			m.Stats.NoBudget.Add(1)
 			q.last = "retry budget is used"
 			return nil, false
@@ -163,7 +163,8 @@
 		outcome = catalog.Failed
 	}
 	q.last = outcome.String()
-	m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome, Took: took})
+	m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
+	m.latencies.observe("exchange.time_ms", q.service, "region", string(server.Region), took)
 	if outcome != catalog.Answered {
 		q.log("exchange without success", "server", string(server.Name), "outcome", outcome.String(), "status", a.Status,
 			"signed", a.Signed, "took_ms", took.Milliseconds(), "load", server.Gauge.Load(now))
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
@@ -43,14 +44,17 @@
 	Region  state.RegionName
 	Retry   quota.RetryLimit
 	Log     hclog.Logger
+	Metrics metrics.Registry
 }
 
 // Manager serves callers. It is safe for concurrent use.
 type Manager struct {
-	opts  Options
-	sizes answerSizes
-	log   *decisionLog
-	Stats Stats
+	opts      Options
+	retry     atomic.Pointer[quota.RetryLimit]
+	sizes     answerSizes
+	log       *decisionLog
+	latencies *latencies
+	Stats     Stats
 }
 
 // Stats counts requests by their end, and what was done for them.
@@ -71,9 +75,14 @@
 
 // New returns a manager.
 func New(opts Options) *Manager {
-	return &Manager{opts: opts, log: newDecisionLog(opts.Log)}
+	m := &Manager{opts: opts, log: newDecisionLog(opts.Log), latencies: newLatencies(opts.Metrics)}
+	m.ApplyRetryLimit(opts.Retry)
+	return m
 }
 
+// ApplyRetryLimit changes the limit on retries.
+func (m *Manager) ApplyRetryLimit(limit quota.RetryLimit) { m.retry.Store(&limit) }
+
 // ServeHTTP carries one request.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.Stats.Requests.Add(1)
--- a/transport/observe/metrics.go
+++ b/transport/observe/metrics.go
@@ -13,10 +13,15 @@
 // a pointer to a counter or to a struct with counters as fields.
 func Registry(groups map[string]any) metrics.Registry {
 	r := metrics.NewRegistry()
+	Register(r, groups)
+	return r
+}
+
+// Register adds the groups to a registry, as Registry does.
+func Register(r metrics.Registry, groups map[string]any) {
 	for name, group := range groups {
 		register(r, name, reflect.ValueOf(group).Elem())
 	}
-	return r
 }
 
 func register(r metrics.Registry, name string, v reflect.Value) {
