--- a/internal/layercheck/layercheck.go
+++ b/internal/layercheck/layercheck.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -15,8 +16,19 @@
 // Module is the path of this project's module.
 const Module = "azurebridge"
 
-// Order lists the layers from the lowest to the highest. A package may import packages of its own and of lower layers.
-var Order = []string{"state", "coordination", "protocol", "transport", "cmd"}
+// Order lists the layers from the lowest to the highest. A package may import packages of its own and of lower layers. The
+// adapter to the users' platform stands above the four layers, so that only programs import it.
+var Order = []string{"state", "coordination", "protocol", "transport", "platform", "cmd"}
+
+// Adapter is the folder that may name what the users' platform puts on the wire.
+const Adapter = "platform"
+
+// wireNames are headers, paths, keys and fields of the users' platform. Elsewhere the code has its own names for them.
+var wireNames = []string{
+	"Target-Instance", "Server-Signature", "Not-Executed", "Server-Load", "Cold-Ms", "Request-Deadline", "Affinity-Key",
+	"kv-txn", "kv-range", "kv-watch", "kv-lease", "kv-keep", "op/config", "op/evacuate", "traffic_split",
+	"session_affinity", "allowed_regions", "cold_remaining_ms", "AZUREBRIDGE_NODE_FILE",
+}
 
 // encoders are import paths that packages of the layers state and coordination must not use, so that decisions stay
 // apart from the encoding of messages and from I/O.
@@ -41,6 +53,35 @@
 	return bad, errors.Wrap(err, "check layers")
 }
 
+// CheckWireNames returns one line for each name of the users' platform in a Go file below root that is not the adapter's.
+func CheckWireNames(root string) ([]string, error) {
+	var bad []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		rel = filepath.ToSlash(rel)
+		if strings.HasPrefix(rel, Adapter+"/") || strings.HasPrefix(rel, "internal/layercheck/") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range wireNames {
+			if strings.Contains(string(data), name) {
+				bad = append(bad, rel+" names "+name)
+			}
+		}
+		return nil
+	})
+	return bad, errors.Wrap(err, "check wire names")
+}
+
 func checkFile(path, rel string) ([]string, error) {
 	layer := rank(rel)
 	if layer < 0 {
--- a/internal/layercheck/layercheck_test.go
+++ b/internal/layercheck/layercheck_test.go
@@ -31,3 +31,27 @@
 		"state/a.go uses encoding/json",
 	))
 }
+
+// Guards against names of the users' platform outside the adapter.
+func TestOnlyTheAdapterNamesTheWire(t *testing.T) {
+	bad, err := CheckWireNames("../..")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bad).To(BeEmpty())
+}
+
+// Guards against a layer that imports the adapter, and against a check of names that finds nothing.
+func TestCheckReportsUseOfTheAdapter(t *testing.T) {
+	g := NewWithT(t)
+	root := t.TempDir()
+	dir := filepath.Join(root, "transport")
+	g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
+	src := "package transport\n\nimport _ \"azurebridge/platform\"\n\nconst name = \"kv-watch\"\n"
+	g.Expect(os.WriteFile(filepath.Join(dir, "a.go"), []byte(src), 0o644)).To(Succeed())
+	bad, err := Check(root)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bad).To(ConsistOf("transport/a.go imports the higher layer platform"))
+	bad, err = CheckWireNames(root)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bad).To(ConsistOf("transport/a.go names kv-watch"))
+}
