--- /dev/null
+++ b/coordination/gossip/gossip_test.go
@@ -0,0 +1,54 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+func newView(perRegion int, regions ...state.RegionName) *catalog.View {
+	v := &catalog.View{}
+	for _, r := range regions {
+		for i := range perRegion {
+			name := state.InstanceName(fmt.Sprintf("%s-%d", r, i))
+			v.Peers = append(v.Peers, routing.Peer{Name: name, Region: r, PeerAddress: "10.0.0.1:1"})
+		}
+	}
+	return v
+}
+
+// Guards against an instance that tells itself, leaves out a region, or tells more instances than is bounded.
+func TestPeersCoverTheRegionAndEachOther(t *testing.T) {
+	g := NewWithT(t)
+	draw := rand.New(rand.NewPCG(1, 2)).IntN
+	for _, perRegion := range []int{1, 4, 74} {
+		count := make(map[state.RegionName]int)
+		for _, p := range Peers(newView(perRegion, "north", "south", "west"), "north-0", "north", draw) {
+			g.Expect(p.Name).NotTo(Equal(state.InstanceName("north-0")))
+			count[p.Region]++
+		}
+		g.Expect(count["north"]).To(Equal(min(perRegion-1, MaxPeers)))
+		g.Expect(count["south"]).To(Equal(1))
+		g.Expect(count["west"]).To(Equal(1))
+	}
+}
+
+// Guards against watches of the fleet that all end together or so often that the store is loaded by them.
+func TestWatchesEndAtDifferentTimesAtABoundedRate(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{0, 1, 6, 22, 100, 2800} {
+		shortest, longest := WatchWait(n, 0), WatchWait(n, 0.999)
+		g.Expect(shortest).To(BeNumerically(">=", shortestWatch))
+		g.Expect(longest).To(BeNumerically("<=", longestWatch))
+		if n > 2*int(shortestWatch/checkInterval) && n < 50 {
+			g.Expect(longest).To(BeNumerically(">", 2*shortest))
+		}
+		g.Expect(float64(n)/shortest.Seconds()).To(BeNumerically("<", 250), "calls/s of %d instances", n)
+	}
+}
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/internal/proptest"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+const now = state.Instant(time.Hour)
+
+func newServer(i int, region state.RegionName) *catalog.Server {
+	return &catalog.Server{
+		Backend: routing.Backend{
+			Name: state.BackendName(fmt.Sprintf("s-%02d", i)), Service: "search", Region: region, Slots: 4,
+		},
+		Gauge: &catalog.Gauge{},
+	}
+}
+
+// newView returns a view of n servers, spread over the regions in turn.
+func newView(n int, regions ...state.RegionName) *catalog.View {
+	s := &catalog.Service{Counters: &catalog.Counters{}}
+	for i := range n {
+		s.Servers = append(s.Servers, newServer(i, regions[i%len(regions)]))
+	}
+	return &catalog.View{Services: map[state.ServiceName]*catalog.Service{"search": s}}
+}
+
+func newRequest(object string) *Request {
+	return &Request{
+		Service: "search", Object: object, Region: "north", Left: 3 * time.Second,
+		Route: &routing.Route{Idempotent: true, TargetLatency: 500 * time.Millisecond},
+		Draw:  func() float64 { return 0.5 },
+	}
+}
+
+func fill(s *catalog.Server, load int) { s.Gauge.Report(now, load) }
+
+// Guards against objects that are cold at every server because each request goes elsewhere.
+func TestRequestsOfAnObjectKeepToTheFirstServerWithRoom(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(12, "north", "south", "west")
+	first, reason := Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Chosen))
+	for range 10 {
+		again, _ := Choose(v, newRequest("7"), now)
+		g.Expect(again).To(BeIdenticalTo(first))
+	}
+	fill(first, 5)
+	again, _ := Choose(v, newRequest("7"), now)
+	g.Expect(again).To(BeIdenticalTo(first), "a short wait costs less than a cold server")
+	fill(first, 6)
+	second, _ := Choose(v, newRequest("7"), now)
+	g.Expect(second).NotTo(BeIdenticalTo(first))
+}
+
+// Guards against servers that forget objects because an overload spreads each object over many of them.
+func TestOverloadSpreadsAnObjectOverFewServers(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(12, "north")
+	used := make(map[state.BackendName]bool)
+	for load := range 40 {
+		s, _ := Choose(v, newRequest("7"), now)
+		used[s.Name] = true
+		fill(s, load)
+	}
+	g.Expect(len(used)).To(BeNumerically("<=", spread))
+}
+
+// Guards against a change of one server that moves the objects of others.
+func TestLossOfAServerMovesOnlyItsObjects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "servers")
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		object := rapid.StringN(1, 8, -1).Draw(t, "object")
+		v := newView(n, "north", "south")
+		before, _ := Choose(v, newRequest(object), now)
+		s := v.Services["search"]
+		gone := s.Servers[lost]
+		s.Servers = append(append([]*catalog.Server(nil), s.Servers[:lost]...), s.Servers[lost+1:]...)
+		after, _ := Choose(v, newRequest(object), now)
+		if before != gone && after != before {
+			t.Fatalf("object %q moved from %s to %s when %s was lost", object, before.Name, after.Name, gone.Name)
+		}
+	})
+}
+
+// Guards against requests outside the regions that a route allows, to servers that were tried, and to cold servers past
+// their pace, whatever else holds.
+func TestChoiceKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newView(rapid.IntRange(1, 12).Draw(t, "servers"), "north", "south", "west")
+		for _, s := range v.Services["search"].Servers {
+			if rapid.Bool().Draw(t, "cold") {
+				s.LimitedUntil = now.Add(time.Second)
+				s.ColdSender = rapid.Bool().Draw(t, "sender")
+			}
+			if rapid.Bool().Draw(t, "ejected") {
+				s.EjectedUntil = now.Add(time.Second)
+			}
+			fill(s, rapid.IntRange(0, 20).Draw(t, "load"))
+		}
+		r := newRequest(rapid.SampledFrom([]string{"", "7", "8"}).Draw(t, "object"))
+		r.Bulk = rapid.Bool().Draw(t, "bulk")
+		r.Route.Regions = rapid.SampledFrom([][]state.RegionName{nil, {"north"}, {"south", "west"}}).Draw(t, "regions")
+		cold := make(map[state.BackendName]int)
+		for range 6 {
+			s, reason := Choose(v, r, now)
+			if s == nil {
+				if reason == Chosen {
+					t.Fatal("no server and no reason")
+				}
+				return
+			}
+			if !r.Route.ServedIn(s.Region) {
+				t.Fatalf("server in %s, allowed are %v", s.Region, r.Route.Regions)
+			}
+			for _, tried := range r.Tried {
+				if tried == s.Name {
+					t.Fatalf("server %s was tried before", s.Name)
+				}
+			}
+			if now.Before(s.LimitedUntil) {
+				if !s.ColdSender {
+					t.Fatalf("cold server %s is not this instance's", s.Name)
+				}
+				if cold[s.Name]++; cold[s.Name] > 1 {
+					t.Fatalf("cold server %s twice at one instant", s.Name)
+				}
+			}
+			if rapid.Bool().Draw(t, "try the next") {
+				r.Tried = append(r.Tried, s.Name)
+			}
+		}
+	})
+}
+
+// Guards against large answers that cross regions while the own region has room.
+func TestLargeAnswersStayInTheRegion(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(12, "south", "north", "west")
+	for object := range 20 {
+		r := newRequest(fmt.Sprint(object))
+		r.Bulk = true
+		s, _ := Choose(v, r, now)
+		g.Expect(s.Region).To(Equal(state.RegionName("north")))
+	}
+}
+
+// Guards against a queue of requests that are all late: what would be answered far too late is refused, and what is in
+// time is not.
+func TestLateRequestsAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(2, "north")
+	s := v.Services["search"]
+	s.Time.Learn(300*time.Millisecond, 1, 4)
+	for _, server := range s.Servers {
+		fill(server, 8)
+	}
+	_, reason := Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Chosen))
+	for _, server := range s.Servers {
+		fill(server, 16)
+	}
+	_, reason = Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Overloaded))
+}
+
+// Guards against a service whose work takes longer than its target and which therefore refuses everything.
+func TestSlowWorkIsNotRefusedWithoutAQueue(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(2, "north")
+	v.Services["search"].Time.Learn(5*time.Second, 1, 4)
+	_, reason := Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Chosen))
+}
+
+func TestMain(m *testing.M) { proptest.Main(m, 300, 30) }
--- /dev/null
+++ b/protocol/gossipwire/gossipwire_test.go
@@ -0,0 +1,51 @@
+package gossipwire
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/gossip"
+)
+
+var key = []byte("0123456789abcdef0123456789abcdef")
+
+// Guards against a message that changes on its way through the encoding.
+func TestRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	m := &gossip.Message{From: "front-1", Region: "north", Revision: 1 << 40}
+	data, err := Encode(key, m)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, err := Decode(key, data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(m))
+}
+
+// Guards against messages of others: each changed byte, another key and a missing key are refused.
+func TestForeignMessagesAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	data, err := Encode(key, &gossip.Message{From: "front-1", Revision: 7})
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := range data {
+		changed := append([]byte(nil), data...)
+		changed[i] ^= 1
+		_, err := Decode(key, changed)
+		g.Expect(err).To(HaveOccurred(), "byte %d", i)
+	}
+	_, err = Decode([]byte("another"), data)
+	g.Expect(err).To(HaveOccurred())
+	_, err = Decode(nil, data)
+	g.Expect(err).To(HaveOccurred())
+	_, err = Encode(nil, &gossip.Message{})
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against a crash on any datagram with a right signature.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{0x83, 0x61, 'a', 0x61, 'b', 7})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m, err := Decode(key, append(data, sign(key, data)...)); err == nil && m == nil {
+			t.Fatal("neither message nor error")
+		}
+	})
+}
