--- /dev/null
+++ b/cmd/azb-front/fixture_test.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/platform/standin"
+	"azurebridge/protocol/settings"
+	"azurebridge/state"
+)
+
+// patience is how long a test waits for something that happens within milliseconds.
+const patience = 15 * time.Second
+
+// fixture is one instance with a store and backend servers, in this process.
+type fixture struct {
+	*WithT
+	t       *testing.T
+	store   *standin.Store
+	servers []*standin.Server
+	program *program
+	output  *buffer
+	next    int // number of the next request
+}
+
+// buffer collects the log.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// lines returns the log lines with a message.
+func (b *buffer) lines(message string) []map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []map[string]any
+	for _, line := range strings.Split(b.b.String(), "\n") {
+		var fields map[string]any
+		if json.Unmarshal([]byte(line), &fields) == nil && fields["@message"] == message {
+			out = append(out, fields)
+		}
+	}
+	return out
+}
+
+const table = `{"version":"r%d","routes":{
+"read":{"hostname":"x.example","prefix":"/read/","type":"idempotent","timeout_ms":%d,"target_latency_ms":800,"priority":1,"service":"svc","attempts":2,"session_affinity":true},
+"write":{"hostname":"x.example","prefix":"/write/","type":"non_idempotent","timeout_ms":%d,"target_latency_ms":800,"priority":1,"service":"svc","attempts":2,"session_affinity":true}},
+"services":{"svc":{"health_path":"/healthz","max_connections":100,"cold_start_s":1,"cold_per_s":5}},
+"limits":{"max_header_bytes":4096,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+const longTimeout = 60_000 // ms
+
+// newFixture starts an instance with n servers, and waits until it takes callers.
+func newFixture(t *testing.T, n int) *fixture {
+	t.Helper()
+	f := &fixture{WithT: NewWithT(t), t: t, store: standin.NewStore(), output: &buffer{}}
+	t.Cleanup(f.store.Close)
+	f.putTable(1, longTimeout)
+	for i := range n {
+		s, err := standin.NewServer(fmt.Sprintf("i-%d", i))
+		f.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
+		f.list(s, "ready")
+	}
+	f.program = f.start("front-1")
+	f.Eventually(func() int { return len(f.usable()) }, patience).Should(Equal(n))
+	f.Eventually(func() int { return f.program.loop.View().Instances }, patience).Should(Equal(1), "shared limits need the fleet")
+	return f
+}
+
+func (f *fixture) putTable(version, timeout int) {
+	f.store.Put("op/config", fmt.Sprintf(table, version, timeout, timeout))
+}
+
+func (f *fixture) list(s *standin.Server, state string) {
+	f.store.Put("servers/"+s.ID, s.Entry("svc", "north-a", state))
+}
+
+// start starts an instance on free ports.
+func (f *fixture) start(name string) *program {
+	f.t.Helper()
+	cfg := &settings.Front{
+		Name: state.InstanceName(name), Region: "north", Domain: "north-a", Store: netip.MustParseAddrPort(f.store.Address()),
+		Callers: freePort(f.t), Ready: freePort(f.t), Directory: freePort(f.t), Peers: freePort(f.t), Metrics: freePort(f.t),
+		Regions: map[state.DomainName]state.RegionName{"north-a": "north"}, LogLevel: "info",
+		Limits: settings.FrontLimits{
+			StopGrace: 10 * time.Second, LookupTTL: 100 * time.Millisecond, RetryRatio: 0.2, RetryExtra: 100,
+			RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdTolerance: 5,
+		},
+	}
+	p, err := newProgram(cfg, "", f.output)
+	f.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() { p.lines.Run(ctx); close(logged) }()
+	f.t.Cleanup(func() { cancel(); <-logged })
+	f.Expect(p.start(ctx, make(chan error, 4))).To(Succeed())
+	return p
+}
+
+// freePort returns a loopback address whose port was free a moment ago.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// usable returns the names of the servers that may get requests.
+func (f *fixture) usable() []string {
+	var out []string
+	if s := f.program.loop.View().Services["svc"]; s != nil {
+		for _, m := range s.Servers {
+			out = append(out, string(m.Name))
+		}
+	}
+	return out
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error // the answer is not whole
+}
+
+// send sends a request on the client's connections. Each has an id of its own.
+func (f *fixture) send(ctx context.Context, client *http.Client, method, path, body string) answer {
+	f.next++
+	id := fmt.Sprintf("req-%d", f.next)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.program.cfg.Callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "x.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Cookie", "lang=en; Affinity-Key=7")
+	r.Header.Set("Request-Deadline", "50000")
+	resp, err := client.Do(r)
+	if err != nil {
+		return answer{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{id, resp.StatusCode, resp.Header, string(data), err}
+}
+
+// read sends a request that may run more than once, write one that may not.
+func (f *fixture) read() answer {
+	return f.send(context.Background(), f.client(), http.MethodGet, "/read/a?q=1", "")
+}
+func (f *fixture) write() answer {
+	return f.send(context.Background(), f.client(), http.MethodPost, "/write/a", "a donation")
+}
+
+func (f *fixture) client() *http.Client {
+	c := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	f.t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// runs counts the runs of a request at all servers.
+func (f *fixture) runs(id string) (n int) {
+	for _, s := range f.servers {
+		for _, r := range s.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// preferred returns the server that gets the requests of the tests' object, and the others.
+func (f *fixture) preferred() (first *standin.Server, others []*standin.Server) {
+	a := f.read()
+	f.Expect(a.status).To(Equal(http.StatusOK))
+	for _, s := range f.servers {
+		if strings.Contains(a.body, "answer of "+s.ID+" ") {
+			first = s
+		} else {
+			others = append(others, s)
+		}
+	}
+	return first, others
+}
--- /dev/null
+++ b/cmd/azb-front/path_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/platform/standin"
+)
+
+// Guards against a request or an answer that is changed on its way.
+func TestRequestIsCarriedUnchanged(t *testing.T) {
+	f := newFixture(t, 1)
+	a := f.write()
+	f.Expect(a.status).To(Equal(http.StatusOK))
+	f.Expect(a.body).To(Equal("answer of i-0 to " + a.id))
+	f.Expect(a.header.Get("Server-Signature")).To(Equal("sig-i-0"))
+	run := f.servers[0].Runs()[0]
+	f.Expect(run.Method).To(Equal(http.MethodPost))
+	f.Expect(run.Path).To(Equal("/write/a"))
+	f.Expect(run.Body).To(Equal("a donation"))
+	f.Expect(run.Cookie).To(Equal("lang=en; Affinity-Key=7"))
+	left, err := strconv.Atoi(run.Deadline)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 50_000)))
+}
+
+// Guards against answers that are not whole or not the server's own and are passed on, and against a second run of a
+// request that must run at most once.
+func TestBadAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		how       standin.Behaviour
+		writeCode int
+		writeRuns int
+	}{
+		{"truncated", standin.Truncate, http.StatusBadGateway, 1},
+		{"lost", standin.Lose, http.StatusBadGateway, 1},
+		{"failed", standin.Fail, http.StatusInternalServerError, 1},
+		{"unsigned", standin.Unsigned, http.StatusBadGateway, 1},
+		{"shed", standin.Shed, http.StatusOK, 1},
+		{"unframed", standin.Unframed, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			first, _ := f.preferred()
+			first.Set(c.how)
+			a := f.read()
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.status).To(Equal(http.StatusOK), "a request that may be repeated goes to another server")
+			f.Expect(a.body).To(HaveSuffix(" to " + a.id))
+			a = f.write()
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.status).To(Equal(c.writeCode))
+			f.Expect(f.runs(a.id)).To(Equal(c.writeRuns))
+		})
+	}
+}
+
+// Guards against "not run" for a request that has run, and against a refusal that does not say when to come back.
+func TestRefusalIsTrue(t *testing.T) {
+	f := newFixture(t, 2)
+	for _, s := range f.servers {
+		s.Set(standin.Shed)
+	}
+	a := f.write()
+	f.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	f.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	f.Expect(f.runs(a.id)).To(BeZero())
+	for _, s := range f.servers {
+		s.Set(standin.Lose)
+	}
+	a = f.write()
+	f.Expect(a.status).To(Equal(http.StatusBadGateway))
+	f.Expect(f.runs(a.id)).To(Equal(1))
+}
+
+// Guards against an answer to another request that arrives where the next one is expected.
+func TestExtraAnswerIsNotTheNextOne(t *testing.T) {
+	f := newFixture(t, 1)
+	f.servers[0].Set(standin.Extra)
+	for range 5 {
+		a := f.read()
+		f.Expect(a.status).To(Equal(http.StatusOK))
+		f.Expect(a.body).To(Equal("answer of i-0 to " + a.id))
+	}
+}
+
+// Guards against requests to a server that has taken over the address of another.
+func TestReusedAddressRunsNothing(t *testing.T) {
+	f := newFixture(t, 2)
+	first, others := f.preferred()
+	f.store.Put("servers/i-old", f.servers[0].Entry("svc", "north-a", "ready"))
+	f.store.Delete("servers/" + first.ID)
+	f.store.Delete("servers/" + others[0].ID)
+	f.Eventually(f.usable, patience).Should(Equal([]string{"i-old"}))
+	a := f.write()
+	f.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	f.Expect(f.runs(a.id)).To(BeZero())
+}
+
+// Guards against new requests at a server that drains, has gone, or whose failure domain is evacuated.
+func TestLeavingServersGetNoRequests(t *testing.T) {
+	f := newFixture(t, 3)
+	f.list(f.servers[0], "draining")
+	f.store.Delete("servers/i-1")
+	f.Eventually(f.usable, patience).Should(Equal([]string{"i-2"}))
+	f.store.Put("op/evacuate/north-a", "{}")
+	f.Eventually(f.usable, patience).Should(BeEmpty())
+	a := f.read()
+	f.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	f.store.Delete("op/evacuate/north-a")
+	f.Eventually(f.usable, patience).Should(Equal([]string{"i-2"}))
+}
+
+// Guards against an entry that another writer left and that is used or hides others.
+func TestUnreadableEntriesNameNoServer(t *testing.T) {
+	f := newFixture(t, 1)
+	f.store.Put("servers/i-9", `{"service":"svc","address":7}`)
+	f.store.Put("servers/i-8", "\x00")
+	f.store.Put("op/config", "{")
+	s, err := standin.NewServer("i-1")
+	f.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(s.Close)
+	f.list(s, "ready")
+	f.Eventually(f.usable, patience).Should(Equal([]string{"i-0", "i-1"}))
+	f.Expect(f.read().status).To(Equal(http.StatusOK))
+	f.Expect(f.program.store.Stats.Unreadable.Load()).To(BeNumerically(">=", 3))
+}
+
+// Guards against an instance that stops serving, or goes back to an older table, when the store does not answer, and that
+// does not catch up afterwards.
+func TestStoreOutages(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"busy": standin.Busy, "many": standin.Many, "reset": standin.Reset, "silent": standin.Silent, "lost": standin.Lost,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.store.SetFault(fault)
+			f.Eventually(func() bool { return f.program.loop.View().StoreLost }, patience).Should(BeTrue())
+			f.Expect(f.read().status).To(Equal(http.StatusOK))
+			f.Expect(f.program.ready()).To(BeTrue())
+			f.store.Lapse()
+			f.putTable(5, longTimeout)
+			f.store.SetFault(standin.Sound)
+			f.Eventually(func() int { return int(f.program.loop.View().Table.Version) }, patience).Should(Equal(5))
+			f.Eventually(func() bool { return f.store.Has("azb/instances/front-1") }, patience).Should(BeTrue())
+			f.putTable(4, longTimeout)
+			f.putTable(6, longTimeout)
+			f.Eventually(func() int { return int(f.program.loop.View().Table.Version) }, patience).Should(Equal(6))
+		})
+	}
+}
+
+// Guards against an instance that serves by an old table because its watch hears of nothing while the store drops its
+// history: another instance that finds out must tell it.
+func TestDeafWatch(t *testing.T) {
+	f := newFixture(t, 1)
+	f.Eventually(func() bool { return f.program.loop.View().FleetKey != nil }, patience).Should(BeTrue())
+	f.store.SetDeaf(true)
+	f.putTable(2, longTimeout)
+	f.store.Compact()
+	f.start("front-2") // lists the store and tells the others
+	f.Eventually(func() int { return int(f.program.loop.View().Table.Version) }, patience).Should(Equal(2))
+}
+
+// Guards against a request that is held past its route's time, and against work for a caller that has left.
+func TestTimeIsOverAndCallerLeaves(t *testing.T) {
+	f := newFixture(t, 1)
+	f.servers[0].Set(standin.Hold)
+	f.putTable(2, 200)
+	f.Eventually(func() int { return int(f.program.loop.View().Table.Version) }, patience).Should(Equal(2))
+	a := f.read()
+	f.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	f.Eventually(f.servers[0].Left, patience).Should(Equal(1))
+	f.putTable(3, longTimeout)
+	f.Eventually(func() int { return int(f.program.loop.View().Table.Version) }, patience).Should(Equal(3))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan answer)
+	go func() { done <- f.send(ctx, f.client(), http.MethodGet, "/read/b", "") }()
+	f.Eventually(func() int { return len(f.servers[0].Runs()) }, patience).Should(Equal(2))
+	cancel()
+	f.Expect((<-done).err).To(HaveOccurred())
+	f.Eventually(f.servers[0].Left, patience).Should(Equal(2))
+}
+
+// Guards against a planned stop that cuts a request, goes on to be named by look-ups, or leaves connections open.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.Eventually(func() bool { return f.store.Has("azb/instances/front-1") }, patience).Should(BeTrue())
+	idle := f.client()
+	f.Expect(f.send(context.Background(), idle, http.MethodGet, "/read/a", "").status).To(Equal(http.StatusOK))
+	f.servers[0].Set(standin.Hold)
+	done := make(chan answer)
+	go func() { done <- f.send(context.Background(), f.client(), http.MethodPost, "/write/a", "x") }()
+	f.Eventually(func() int { return len(f.servers[0].Runs()) }, patience).Should(Equal(2))
+	stopped := make(chan struct{})
+	go func() { f.program.stop(context.Background()); close(stopped) }()
+	f.Eventually(func() bool { return f.store.Has("azb/instances/front-1") }, patience).Should(BeFalse())
+	f.Expect(f.program.ready()).To(BeFalse())
+	f.Consistently(stopped, 300*time.Millisecond).ShouldNot(BeClosed())
+	f.servers[0].Release()
+	a := <-done
+	f.Expect(a.status).To(Equal(http.StatusOK))
+	f.Expect(a.err).NotTo(HaveOccurred())
+	f.Eventually(stopped, patience).Should(BeClosed())
+	f.Eventually(func() error {
+		c, err := net.Dial("tcp", f.program.cfg.Callers.String())
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}, patience).Should(HaveOccurred())
+}
+
+// Guards against a 404 from an instance that has no table yet, which would say that the route does not exist.
+func TestInstanceWithoutTableIsNotReady(t *testing.T) {
+	f := newFixture(t, 0)
+	f.store.SetFault(standin.Busy)
+	f.program = f.start("front-2")
+	a := f.read()
+	f.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	f.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	f.Expect(f.program.ready()).To(BeFalse())
+}
+
+// Guards against requests past the limits of the table, and paths that no route matches.
+func TestLimitsOfCallers(t *testing.T) {
+	f := newFixture(t, 1)
+	large := make([]byte, 1<<20+1)
+	f.Expect(f.send(context.Background(), f.client(), http.MethodPost, "/write/a", string(large)).status).To(Equal(http.StatusRequestEntityTooLarge))
+	f.Expect(f.send(context.Background(), f.client(), http.MethodGet, "/other/", "").status).To(Equal(http.StatusNotFound))
+	f.Expect(f.servers[0].Runs()).To(BeEmpty())
+}
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -77,7 +78,7 @@
 	if cfg.Limits.MemoryMegabyte > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMegabyte<<20) * memoryShare))
 	}
-	p, err := newProgram(cfg, path)
+	p, err := newProgram(cfg, path, os.Stdout)
 	if err != nil {
 		return err
 	}
@@ -85,8 +86,8 @@
 }
 
 // newProgram wires the parts. Nothing runs before serve.
-func newProgram(cfg *settings.Front, path string) (*program, error) {
-	p := &program{cfg: cfg, path: path, metrics: metrics.NewRegistry(), lines: eventlog.NewWriter(os.Stdout)}
+func newProgram(cfg *settings.Front, path string, logTo io.Writer) (*program, error) {
+	p := &program{cfg: cfg, path: path, metrics: metrics.NewRegistry(), lines: eventlog.NewWriter(logTo)}
 	p.log = hclog.New(&hclog.LoggerOptions{
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.lines,
 	})
@@ -126,22 +127,18 @@
 	return p, nil
 }
 
-// serve runs the servers and workers until a signal.
+// serve runs the program until a signal.
 func (p *program) serve() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	logged := make(chan struct{})
 	go func() { p.lines.Run(ctx); close(logged) }()
 	failed := make(chan error, 4)
-	if err := p.listen(failed); err != nil {
+	if err := p.start(ctx, failed); err != nil {
 		return err
 	}
-	for _, work := range []func(context.Context){p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.watchSettings} {
-		go work(ctx)
-	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	p.log.Info("instance started", "callers", p.cfg.Callers.String(), "region", string(p.cfg.Region), "domain", string(p.cfg.Domain))
 	err := p.await(ctx, signals, failed)
 	if err == nil {
 		p.stop(ctx)
@@ -151,6 +148,20 @@
 	return err
 }
 
+// start runs the servers and workers until ctx ends. A server that ends tells failed.
+func (p *program) start(ctx context.Context, failed chan<- error) error {
+	if err := p.listen(failed); err != nil {
+		return err
+	}
+	for _, work := range []func(context.Context){
+		p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.watchSettings,
+	} {
+		go work(ctx)
+	}
+	p.log.Info("instance started", "callers", p.cfg.Callers.String(), "region", string(p.cfg.Region), "domain", string(p.cfg.Domain))
+	return nil
+}
+
 // await handles signals until one asks for the planned stop, or a server fails.
 func (p *program) await(ctx context.Context, signals <-chan os.Signal, failed <-chan error) error {
 	for {
