--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -61,13 +61,11 @@
 	return out
 }
 
-const table = `{"version":"r%d","routes":{
-"read":{"hostname":"x.example","prefix":"/read/","type":"idempotent","timeout_ms":%d,"target_latency_ms":800,"priority":1,"service":"svc","attempts":2,"session_affinity":true},
-"write":{"hostname":"x.example","prefix":"/write/","type":"non_idempotent","timeout_ms":%d,"target_latency_ms":800,"priority":1,"service":"svc","attempts":2,"session_affinity":true}},
-"services":{"svc":{"health_path":"/healthz","max_connections":100,"cold_start_s":1,"cold_per_s":5}},
-"limits":{"max_header_bytes":4096,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
-const longTimeout = 60_000 // ms
+// Times of the routes, in milliseconds.
+const (
+	longTimeout   = 60_000
+	targetLatency = 800
+)
 
 // newFixture starts an instance with n servers, and waits until it takes callers.
 func newFixture(t *testing.T, n int) *fixture {
@@ -89,11 +87,11 @@
 }
 
 func (f *fixture) putTable(version, timeout int) {
-	f.store.Put("op/config", fmt.Sprintf(table, version, timeout, timeout))
+	f.store.PutTable(version, timeout, targetLatency)
 }
 
 func (f *fixture) list(s *standin.Server, state string) {
-	f.store.Put("servers/"+s.ID, s.Entry("svc", "north-a", state))
+	f.store.PutServer(s.ID, s, "north-a", state)
 }
 
 // start starts an instance on free ports.
@@ -157,10 +155,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	r.Host = "x.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Cookie", "lang=en; Affinity-Key=7")
-	r.Header.Set("Request-Deadline", "50000")
+	r.Host = standin.Host
+	for name, value := range standin.CallerHeaders(id, "7", "50000") {
+		r.Header.Set(name, value)
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return answer{id: id, err: err}
--- a/internal/layercheck/layercheck.go
+++ b/internal/layercheck/layercheck.go
@@ -20,16 +20,6 @@
 // adapter to the users' platform stands above the four layers, so that only programs import it.
 var Order = []string{"state", "coordination", "protocol", "transport", "platform", "cmd"}
 
-// Adapter is the folder that may name what the users' platform puts on the wire.
-const Adapter = "platform"
-
-// wireNames are headers, paths, keys and fields of the users' platform. Elsewhere the code has its own names for them.
-var wireNames = []string{
-	"Target-Instance", "Server-Signature", "Not-Executed", "Server-Load", "Cold-Ms", "Request-Deadline", "Affinity-Key",
-	"kv-txn", "kv-range", "kv-watch", "kv-lease", "kv-keep", "op/config", "op/evacuate", "traffic_split",
-	"session_affinity", "allowed_regions", "cold_remaining_ms", "AZUREBRIDGE_NODE_FILE",
-}
-
 // encoders are import paths that packages of the layers state and coordination must not use, so that decisions stay
 // apart from the encoding of messages and from I/O.
 var encoders = []string{"encoding/", "net/http", "net", "os", "github.com/fxamacker/cbor", "github.com/quic-go", "gopkg.in/ini"}
@@ -38,48 +28,47 @@
 // cannot be parsed.
 func Check(root string) ([]string, error) {
 	var bad []string
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
-			return err
-		}
-		rel, err := filepath.Rel(root, path)
-		if err != nil {
-			return err
-		}
-		found, err := checkFile(path, filepath.ToSlash(rel))
+	err := walkGo(root, func(path, rel string) error {
+		found, err := checkFile(path, rel)
 		bad = append(bad, found...)
 		return err
 	})
 	return bad, errors.Wrap(err, "check layers")
 }
 
-// CheckWireNames returns one line for each name of the users' platform in a Go file below root that is not the adapter's.
-func CheckWireNames(root string) ([]string, error) {
+// CheckNames returns one line for each Go file below root, outside the folder, that holds one of the names.
+func CheckNames(root, folder string, names []string) ([]string, error) {
 	var bad []string
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
-			return err
-		}
-		rel, err := filepath.Rel(root, path)
-		if err != nil {
-			return err
-		}
-		rel = filepath.ToSlash(rel)
-		if strings.HasPrefix(rel, Adapter+"/") || strings.HasPrefix(rel, "internal/layercheck/") {
+	err := walkGo(root, func(path, rel string) error {
+		if strings.HasPrefix(rel, folder+"/") {
 			return nil
 		}
 		data, err := os.ReadFile(path)
 		if err != nil {
 			return err
 		}
-		for _, name := range wireNames {
+		for _, name := range names {
 			if strings.Contains(string(data), name) {
 				bad = append(bad, rel+" names "+name)
 			}
 		}
 		return nil
 	})
-	return bad, errors.Wrap(err, "check wire names")
+	return bad, errors.Wrap(err, "check names")
+}
+
+// walkGo calls do for each Go file below root with its path, and its path from root with slashes.
+func walkGo(root string, do func(path, rel string) error) error {
+	return filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		return do(path, filepath.ToSlash(rel))
+	})
 }
 
 func checkFile(path, rel string) ([]string, error) {
--- a/internal/layercheck/layercheck_test.go
+++ b/internal/layercheck/layercheck_test.go
@@ -32,26 +32,21 @@
 	))
 }
 
-// Guards against names of the users' platform outside the adapter.
-func TestOnlyTheAdapterNamesTheWire(t *testing.T) {
-	bad, err := CheckWireNames("../..")
-	g := NewWithT(t)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(bad).To(BeEmpty())
-}
-
-// Guards against a layer that imports the adapter, and against a check of names that finds nothing.
+// Guards against a layer that imports the adapter to the users' platform, and against a check of names that finds nothing.
 func TestCheckReportsUseOfTheAdapter(t *testing.T) {
 	g := NewWithT(t)
 	root := t.TempDir()
-	dir := filepath.Join(root, "transport")
-	g.Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
-	src := "package transport\n\nimport _ \"azurebridge/platform\"\n\nconst name = \"kv-watch\"\n"
-	g.Expect(os.WriteFile(filepath.Join(dir, "a.go"), []byte(src), 0o644)).To(Succeed())
+	for dir, src := range map[string]string{
+		"transport": "package transport\n\nimport _ \"azurebridge/platform\"\n\nconst name = \"X-Wire\"\n",
+		"platform":  "package platform\n\nconst name = \"X-Wire\"\n",
+	} {
+		g.Expect(os.MkdirAll(filepath.Join(root, dir), 0o755)).To(Succeed())
+		g.Expect(os.WriteFile(filepath.Join(root, dir, "a.go"), []byte(src), 0o644)).To(Succeed())
+	}
 	bad, err := Check(root)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(bad).To(ConsistOf("transport/a.go imports the higher layer platform"))
-	bad, err = CheckWireNames(root)
+	bad, err = CheckNames(root, "platform", []string{"X-Wire"})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(bad).To(ConsistOf("transport/a.go names kv-watch"))
+	g.Expect(bad).To(ConsistOf("transport/a.go names X-Wire"))
 }
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -14,15 +14,15 @@
 const retryLater = 300 * time.Millisecond
 
 // pass writes a server's good answer.
-func (q *request) pass(a *backendconn.Answer, server *catalog.Server) {
+func (q *request) pass(a reply, server *catalog.Server) {
 	m := q.m
 	m.Stats.Served.Add(1)
 	if a.Rest == nil && a.Status == http.StatusOK {
 		m.sizes.learn(q.route, len(a.Body))
 	}
 	m.latencies.observe("request.time_ms", q.service, "end", "served", m.opts.Loop.Now().Sub(q.arrived))
-	q.logServed(server)
-	q.write(a)
+	q.logServed(server, a.took)
+	q.write(a.Answer)
 }
 
 // write passes a server's answer on unchanged. An answer that breaks off is cut, so that it does not look complete.
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -56,7 +56,7 @@
 		}
 		q.ran = true
 		if answer.good() {
-			q.pass(answer.Answer, server)
+			q.pass(answer, server)
 			return
 		}
 		if answer.whole() {
@@ -113,6 +113,7 @@
 // reply is an answer with what it means.
 type reply struct {
 	*backendconn.Answer
+	took time.Duration // from sending to the whole answer
 }
 
 // whole reports whether the answer is the server's own.
@@ -146,7 +147,7 @@
 	if !a.WrongServer {
 		q.sent++
 	}
-	out := reply{a}
+	out := reply{a, took}
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
 	}
--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -61,12 +61,18 @@
 	q.m.log.log.Info(message, append(q.fields(), fields...)...)
 }
 
-// logServed writes a sampled line about a request that was served.
-func (q *request) logServed(server *catalog.Server) {
-	if q.sent <= 1 && !q.m.log.allow(true) {
+// logServed writes a line about a request that was served by an exchange of the given length: always when it was late or
+// was sent more than once, else a sample.
+func (q *request) logServed(server *catalog.Server, exchange time.Duration) {
+	message, calm := "request served", q.sent <= 1
+	if q.m.opts.Loop.Now().Sub(q.arrived) > q.route.TargetLatency {
+		message, calm = "request late", false
+	}
+	if !q.m.log.allow(calm) {
 		return
 	}
-	q.m.log.log.Info("request served", append(q.fields(), "server", string(server.Name), "domain", string(server.Domain),
+	q.m.log.log.Info(message, append(q.fields(), "server", string(server.Name), "domain", string(server.Domain),
+		"exchange_ms", exchange.Milliseconds(), "target_ms", q.route.TargetLatency.Milliseconds(),
 		"load", server.Gauge.Load(q.m.opts.Loop.Now()), "work_ms", q.workEstimate().Milliseconds())...)
 }
 
