--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -32,7 +32,8 @@
 	servers []*standin.Server
 	program *program
 	output  *buffer
-	next    int // number of the next request
+	next    int      // number of the next request
+	seeds   []string // of instances that are started
 }
 
 // buffer collects the log.
@@ -100,7 +101,7 @@
 	cfg := &settings.Front{
 		Name: state.InstanceName(name), Region: "north", Domain: "north-a", Store: netip.MustParseAddrPort(f.store.Address()),
 		Callers: freePort(f.t), Ready: freePort(f.t), Directory: freePort(f.t), Peers: freePort(f.t), Metrics: freePort(f.t),
-		Regions: map[state.DomainName]state.RegionName{"north-a": "north"}, LogLevel: "info",
+		Regions: map[state.DomainName]state.RegionName{"north-a": "north"}, LogLevel: "info", Seeds: f.seeds,
 		Limits: settings.FrontLimits{
 			StopGrace: 10 * time.Second, LookupTTL: 100 * time.Millisecond, RetryRatio: 0.2, RetryExtra: 100,
 			RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdTolerance: 5,
@@ -112,7 +113,7 @@
 	logged := make(chan struct{})
 	go func() { p.lines.Run(ctx); close(logged) }()
 	f.t.Cleanup(func() { cancel(); <-logged })
-	f.Expect(p.start(ctx, make(chan error, 4))).To(Succeed())
+	f.Expect(p.start(ctx, make(chan error, maxServers))).To(Succeed())
 	return p
 }
 
--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -235,3 +235,16 @@
 	f.Expect(f.send(context.Background(), f.client(), http.MethodGet, "/other/", "").status).To(Equal(http.StatusNotFound))
 	f.Expect(f.servers[0].Runs()).To(BeEmpty())
 }
+
+// Guards against an instance that restarts while the store turns it away and refuses everything: another instance tells
+// it what is in force.
+func TestInstanceTurnedAwayByTheStoreLearnsFromAnother(t *testing.T) {
+	f := newFixture(t, 1)
+	f.Eventually(func() bool { return f.program.loop.View().FleetKey != nil }, patience).Should(BeTrue())
+	f.store.SetFault(standin.Busy)
+	f.seeds = []string{f.program.cfg.Peers.String()}
+	f.program = f.start("front-2")
+	f.Eventually(f.program.ready, patience).Should(BeTrue())
+	f.Expect(f.usable()).To(Equal([]string{"i-0"}))
+	f.Expect(f.read().status).To(Equal(http.StatusOK))
+}
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -46,6 +46,9 @@
 	memoryShare = 0.6
 )
 
+// maxServers is the number of HTTP servers of the process.
+const maxServers = 6
+
 // maxHeader bounds the header of any request, in bytes. The routing table has a lower limit.
 const maxHeader = 64 << 10
 
@@ -64,6 +67,7 @@
 	pool      *backendconn.Pool
 	front     *front.Manager
 	peers     *peers.Node
+	asker     *peers.Asker
 	callers   *http.Server
 	conns     *front.Conns // of callers
 	listener  net.Listener // of callers
@@ -103,7 +107,9 @@
 		Store: p.store, To: p.loop, Log: p.log.Named("store"),
 		Wait: func() time.Duration { return gossip.WatchWait(p.loop.View().Instances, rand.Float64()) },
 		Tell: func(revision uint64) { p.peers.Tell(revision) },
+		Ask:  p.askPeers,
 	})
+	p.asker = peers.NewAsker(p.loop, cfg.Peers.String(), cfg.Seeds)
 	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.follower.Relist, p.log.Named("store"))
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
@@ -133,7 +139,7 @@
 	defer cancel()
 	logged := make(chan struct{})
 	go func() { p.lines.Run(ctx); close(logged) }()
-	failed := make(chan error, 4)
+	failed := make(chan error, maxServers)
 	if err := p.start(ctx, failed); err != nil {
 		return err
 	}
@@ -185,6 +191,7 @@
 // listen opens the listeners and serves them.
 func (p *program) listen(failed chan<- error) error {
 	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
+	facts := peers.FactsHandler(p.loop, p.follower.Revision)
 	for _, s := range []struct {
 		address netip.AddrPort
 		server  *http.Server
@@ -192,8 +199,13 @@
 		{p.cfg.Callers, p.callers},
 		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.cfg.Directory, &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Peers, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Control, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
 		{p.cfg.Metrics, &http.Server{Handler: status.Handler(p.metrics, p.dump), ReadHeaderTimeout: headerTimeout}},
 	} {
+		if !s.address.IsValid() {
+			continue // an optional address
+		}
 		ln, err := net.Listen("tcp", s.address.String())
 		if err != nil {
 			return errors.Wrap(err, "listen")
@@ -207,6 +219,19 @@
 	return nil
 }
 
+// askPeers asks another instance for what it knows of the store.
+func (p *program) askPeers(ctx context.Context, after metastore.Revision) ([]catalog.Item, metastore.Revision, bool) {
+	facts, err := p.asker.Ask(ctx, uint64(after))
+	if err != nil {
+		p.log.Warn("another instance does not tell what it knows of the store", "error", err.Error())
+	}
+	if err != nil || facts == nil {
+		return nil, 0, false
+	}
+	p.log.Info("another instance has told what it knows of the store", "revision", facts.Revision, "items", len(facts.Items))
+	return facts.Items, metastore.Revision(facts.Revision), true
+}
+
 // ready reports whether the instance takes new callers.
 func (p *program) ready() bool {
 	v := p.loop.View()
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -41,20 +41,22 @@
 
 // Core holds the control state. It belongs to the control goroutine.
 type Core struct {
-	opts      Options
-	table     *routing.Table
-	servers   map[string]*member // by key
-	evacuated map[string]Evacuation
-	peers     map[string]*routing.Peer
-	counters  map[state.ServiceName]*Counters
-	fleetKey  []byte
-	lost      bool
-	lostUntil state.Instant // when the outage of the store ended, plus outageTail
-	stopping  bool
-	most      int // most instances alive lately
-	mostAt    state.Instant
-	notes     []Note
-	dirty     bool
+	opts        Options
+	table       *routing.Table
+	tableKey    string
+	servers     map[string]*member // by key
+	evacuated   map[string]Evacuation
+	peers       map[string]*routing.Peer
+	counters    map[state.ServiceName]*Counters
+	fleetKey    []byte
+	fleetKeyKey string
+	lost        bool
+	lostUntil   state.Instant // when the outage of the store ended, plus outageTail
+	stopping    bool
+	most        int // most instances alive lately
+	mostAt      state.Instant
+	notes       []Note
+	dirty       bool
 }
 
 // member is one backend server.
@@ -100,6 +102,8 @@
 		}
 	case Observed:
 		c.observe(now, ev)
+	case Collect:
+		ev.Reply <- c.items(now)
 	case Limits:
 		c.opts.Cold, c.dirty = ev.Cold, true
 	case Stopping:
@@ -162,6 +166,7 @@
 		c.dirty = true
 		switch f := it.Fact.(type) {
 		case *routing.Table:
+			c.tableKey = it.Key
 			c.adopt(f)
 		case *routing.Backend:
 			c.join(now, it.Key, f)
@@ -170,7 +175,7 @@
 		case *routing.Peer:
 			c.peers[it.Key] = f
 		case FleetKey:
-			c.fleetKey = f
+			c.fleetKey, c.fleetKeyKey = f, it.Key
 		case nil:
 			c.remove(now, it.Key, grace)
 		}
@@ -281,6 +286,32 @@
 	}
 }
 
+// items returns what the core knows of the store. Servers that are missing are left out.
+func (c *Core) items(now state.Instant) []Item {
+	var out []Item
+	if c.table != nil {
+		out = append(out, Item{Key: c.tableKey, Fact: c.table})
+	}
+	for key, m := range c.servers {
+		if m.vanished != 0 {
+			continue
+		}
+		b := m.Backend
+		b.ColdUntil = state.Instant(max(0, b.ColdUntil.Sub(now)))
+		out = append(out, Item{Key: key, Fact: &b})
+	}
+	for key, e := range c.evacuated {
+		out = append(out, Item{Key: key, Fact: e})
+	}
+	for key, p := range c.peers {
+		out = append(out, Item{Key: key, Fact: p})
+	}
+	if c.fleetKey != nil {
+		out = append(out, Item{Key: c.fleetKeyKey, Fact: FleetKey(c.fleetKey)})
+	}
+	return out
+}
+
 // TakeNotes returns what changed since the last call.
 func (c *Core) TakeNotes() []Note {
 	notes := c.notes
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -47,6 +47,9 @@
 	Outcome Outcome
 }
 
+// Collect asks for all that the core knows of the store. The core answers at once; Reply has room for the answer.
+type Collect struct{ Reply chan<- []Item }
+
 // Limits are the limits in force from now on.
 type Limits struct {
 	Cold quota.ColdLimit
@@ -60,6 +63,7 @@
 func (StoreLost) event()     {}
 func (StoreRegained) event() {}
 func (Observed) event()      {}
+func (Collect) event()       {}
 func (Limits) event()        {}
 func (Stopping) event()      {}
 
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// Collect returns what the core knows of the store, or nil when ctx ends first.
+func (l *Loop) Collect(ctx context.Context) []Item {
+	reply := make(chan []Item, 1)
+	l.Tell(ctx, Collect{Reply: reply})
+	select {
+	case items := <-reply:
+		return items
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // Run is the control goroutine. It returns when ctx ends, and sleeps until an event arrives or the core has work due.
 func (l *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
--- /dev/null
+++ b/protocol/factwire/factwire_test.go
@@ -0,0 +1,73 @@
+package factwire
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+var key = []byte("0123456789abcdef0123456789abcdef")
+
+func sample() *Facts {
+	table := &routing.Table{
+		Version: 7, Services: map[state.ServiceName]routing.Service{"search": {HealthPath: "/h", ColdRate: 5.6}},
+		Routes: []routing.Route{{
+			Name: "a", Host: "x.example", Prefix: "/a/", Idempotent: true, Timeout: time.Second, MaxAttempts: 2, Affinity: true,
+			Parts: []routing.Part{{Service: "search", Weight: 1}}, Regions: []state.RegionName{"north"},
+		}},
+	}
+	table.Index()
+	return &Facts{Revision: 9, Items: []catalog.Item{
+		{Key: "config", Fact: table},
+		{Key: "server", Fact: &routing.Backend{Name: "s-1", Service: "search", Slots: 4, ColdUntil: state.Instant(time.Second)}},
+		{Key: "evacuation", Fact: catalog.Evacuation{Domain: "north-a"}},
+		{Key: "peer", Fact: &routing.Peer{Name: "front-1"}},
+		{Key: "key", Fact: catalog.FleetKey(key)},
+	}}
+}
+
+// Guards against facts that change or are lost on the way to an instance that the store turns away.
+func TestRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	data, err := Encode(key, sample())
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, known := range [][]byte{key, nil} {
+		got, err := Decode(known, data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(sample()))
+	}
+}
+
+// Guards against facts of others, and against facts that are not valid.
+func TestForeignFactsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	data, err := Encode([]byte("another"), sample())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Decode(key, data)
+	g.Expect(err).To(HaveOccurred())
+	bad := sample()
+	bad.Items[0].Fact.(*routing.Table).Routes[0].Prefix = "a"
+	data, err = Encode(key, bad)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Decode(key, data)
+	g.Expect(err).To(MatchError(ContainSubstring("prefix")))
+}
+
+// Guards against a crash on any bytes.
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(nil, sample())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if facts, err := Decode(nil, data); err == nil && facts == nil {
+			t.Fatal("neither facts nor error")
+		}
+	})
+}
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -38,7 +38,22 @@
 	if len(data)+macSize > MaxSize {
 		return nil, errors.Errorf("encode message: %d bytes, limit is %d", len(data)+macSize, MaxSize)
 	}
-	return append(data, sign(key, data)...), nil
+	return Sign(key, data), nil
+}
+
+// Sign appends the signature of the fleet to data.
+func Sign(key, data []byte) []byte { return append(data, sign(key, data)...) }
+
+// Verify returns the data in front of the signature. Without a key the signature is not checked.
+func Verify(key, signed []byte) ([]byte, error) {
+	if len(signed) <= macSize {
+		return nil, errors.New("too short")
+	}
+	data, mac := signed[:len(signed)-macSize], signed[len(signed)-macSize:]
+	if len(key) > 0 && !hmac.Equal(mac, sign(key, data)) {
+		return nil, errors.New("wrong signature")
+	}
+	return data, nil
 }
 
 // Decode checks the signature of a datagram and returns its message.
@@ -46,12 +61,9 @@
 	if len(key) == 0 {
 		return nil, errors.New("decode message: no fleet key")
 	}
-	if len(datagram) <= macSize {
-		return nil, errors.New("decode message: too short")
-	}
-	data, mac := datagram[:len(datagram)-macSize], datagram[len(datagram)-macSize:]
-	if !hmac.Equal(mac, sign(key, data)) {
-		return nil, errors.New("decode message: wrong signature")
+	data, err := Verify(key, datagram)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode message")
 	}
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -17,6 +17,8 @@
 	Ready     netip.AddrPort
 	Directory netip.AddrPort
 	Peers     netip.AddrPort // UDP, other instances
+	Control   netip.AddrPort // where instances that have just started ask; not valid when there is none
+	Seeds     []string       // control addresses of some instances; may be stale
 	Metrics   netip.AddrPort
 	Store     netip.AddrPort
 	Regions   map[state.DomainName]state.RegionName
@@ -69,6 +71,10 @@
 	out.Directory = s.HostPort("directory")
 	out.Peers = s.HostPort("peers")
 	out.Metrics = s.HostPort("metrics")
+	if s.String("control", "") != "" {
+		out.Control = s.HostPort("control")
+	}
+	out.Seeds = s.List("seeds")
 	out.Store = f.Section("store").HostPort("address")
 	for _, s := range f.Named("domain") {
 		out.Regions[state.DomainName(s.Label)] = state.RegionName(s.Required("region"))
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -45,7 +45,10 @@
 	To    Teller
 	Wait  func() time.Duration  // how long the next watch waits for changes
 	Tell  func(revision uint64) // told when a listing has brought more than the watches
-	Log   hclog.Logger
+	// Ask returns what another instance knows after a revision, and false when it knows nothing more. It is called while the
+	// store does not answer.
+	Ask func(ctx context.Context, after Revision) ([]catalog.Item, Revision, bool)
+	Log hclog.Logger
 }
 
 // Follower passes the content of the store and its changes to the control goroutine.
@@ -63,6 +66,7 @@
 	Watches   atomic.Uint64
 	Failures  atomic.Uint64
 	Compacted atomic.Uint64
+	Relayed   atomic.Uint64 // listings that another instance gave
 	Abandoned atomic.Uint64 // watches that may have missed changes
 }
 
@@ -71,6 +75,9 @@
 	return &Follower{opts: opts, relist: make(chan struct{}, 1)}
 }
 
+// Revision returns the revision up to which this instance knows the store.
+func (f *Follower) Revision() uint64 { return f.at.Load() }
+
 // Newer tells that another instance knows the store up to a revision. When the watch does not bring it soon, the follower
 // lists again.
 func (f *Follower) Newer(revision uint64) {
@@ -119,6 +126,12 @@
 			listed = false
 		default:
 			f.fail(ctx, err)
+			if items, newer, ok := f.opts.Ask(ctx, at); ok {
+				f.opts.To.Tell(ctx, catalog.Listed{Items: items})
+				f.at.Store(uint64(newer))
+				f.Stats.Relayed.Add(1)
+				at, listed = newer, true
+			}
 			if !wait.For(ctx, backoff) {
 				return
 			}
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -117,6 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := NewFollower(FollowerOptions{
 		Store: s, To: to, Wait: func() time.Duration { return time.Hour }, Tell: func(uint64) {}, Log: hclog.NewNullLogger(),
+		Ask: func(context.Context, Revision) ([]catalog.Item, Revision, bool) { return nil, 0, false },
 	})
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
--- /dev/null
+++ b/transport/peers/facts.go
@@ -0,0 +1,105 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/protocol/factwire"
+	"azurebridge/transport/backend"
+)
+
+// Times and paths of the transfer of facts.
+const (
+	factsPath = "/facts"
+	// factsTimeout bounds the question to one instance.
+	factsTimeout = 700 * time.Millisecond
+)
+
+// FactsHandler answers other instances that ask what this one knows of the store, revision being what it knows it up to.
+func FactsHandler(loop *catalog.Loop, revision func() uint64) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after is not a revision", http.StatusBadRequest)
+			return
+		}
+		at := revision() // read before the facts, which may be newer
+		if at <= after {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		data, err := factwire.Encode(loop.View().FleetKey, &factwire.Facts{Revision: at, Items: loop.Collect(r.Context())})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(data) // an instance that has left needs no answer
+	})
+	return mux
+}
+
+// Asker asks other instances for what they know of the store.
+type Asker struct {
+	loop   *catalog.Loop
+	self   string   // address at which this instance answers
+	seeds  []string // addresses of some instances, for a process that knows none yet
+	client http.Client
+}
+
+// NewAsker returns an asker. Instances that the store lists are asked, and the seeds while it lists none.
+func NewAsker(loop *catalog.Loop, self string, seeds []string) *Asker {
+	transport := &http.Transport{DialContext: backend.Dial, DisableCompression: true, DisableKeepAlives: true}
+	return &Asker{loop: loop, self: self, seeds: seeds, client: http.Client{Transport: transport, Timeout: factsTimeout}}
+}
+
+// Ask returns what one other instance knows, or nil when it knows nothing newer than the revision.
+func (a *Asker) Ask(ctx context.Context, after uint64) (*factwire.Facts, error) {
+	address := a.choose()
+	if address == "" {
+		return nil, nil
+	}
+	url := "http://" + address + factsPath + "?after=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask %s for facts", address)
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask %s for facts", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNoContent {
+		return nil, nil
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, factwire.MaxSize))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("ask %s for facts: status %d, error %v", address, resp.StatusCode, err)
+	}
+	facts, err := factwire.Decode(a.loop.View().FleetKey, data)
+	return facts, errors.Wrapf(err, "ask %s for facts", address)
+}
+
+// choose returns the address of an instance, drawn at random.
+func (a *Asker) choose() string {
+	var list []string
+	for _, p := range a.loop.View().Peers {
+		if p.PeerAddress != a.self && p.PeerAddress != "" {
+			list = append(list, p.PeerAddress)
+		}
+	}
+	if len(list) == 0 {
+		list = a.seeds
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return list[rand.IntN(len(list))]
+}
