--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -49,6 +49,8 @@
 	// spread is the number of servers, first in an object's order, that share its requests. More would share the load better
 	// but each server remembers a bounded number of objects, and forgets some when it is given too many.
 	spread = 2
+	// localWeight is the weight of a server of the own region against one elsewhere with as many slots.
+	localWeight = 3
 	// enough is the use up to which a server is taken without looking at the next one: a short wait at a server that knows
 	// the object costs less than the work at one that does not.
 	enough = 1.5
@@ -154,9 +156,13 @@
 	})
 }
 
-// rank gives each server a share of the objects in proportion to its slots.
+// rank gives each server a share of the objects in proportion to its slots, and to those of the own region more: they are
+// nearer, and bytes between regions are dear. Regions of few servers still pass most of their load on.
 func (r *Request) rank(s *catalog.Server) float64 {
 	slots := float64(max(1, s.Slots))
+	if s.Region == r.Region {
+		slots *= localWeight
+	}
 	if r.Object == "" {
 		return -math.Log(1-r.Draw()) / slots
 	}
