--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -10,7 +10,7 @@
 )
 
 // loadMemory is the time in which a reported load loses half of its weight.
-const loadMemory = 1500 * time.Millisecond
+const loadMemory = 800 * time.Millisecond
 
 // Gauge holds what traffic goroutines know of a backend server's load. It is safe for concurrent use.
 type Gauge struct {
