--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -73,13 +73,14 @@
 	}
 	q.m.log.log.Info(message, append(q.fields(), "server", string(server.Name), "domain", string(server.Domain),
 		"exchange_ms", exchange.Milliseconds(), "target_ms", q.route.TargetLatency.Milliseconds(),
-		"load", server.Gauge.Load(q.m.opts.Loop.Now()), "work_ms", q.workEstimate().Milliseconds())...)
+		"load", server.Gauge.Load(q.m.opts.Loop.Now()))...)
 }
 
 func (q *request) fields() []any {
 	out := []any{"request", q.caller.RequestID, "ms", q.m.opts.Loop.Now().Sub(q.arrived).Milliseconds(), "tries", len(q.tried), "sent", q.sent}
 	if q.route != nil {
-		out = append(out, "route", q.route.Name, "service", string(q.service), "limit_ms", q.limit.Milliseconds())
+		out = append(out, "route", q.route.Name, "service", string(q.service), "limit_ms", q.limit.Milliseconds(),
+			"work_ms", q.workEstimate().Milliseconds())
 	}
 	if q.view.Table != nil {
 		out = append(out, "table", uint64(q.view.Table.Version))
