--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -75,3 +75,128 @@
 	c.Tick(due)
 	g.Expect(names(c.View())).To(HaveLen(10))
 }
+
+// find returns a server of the core's next view.
+func find(t *testing.T, v *View, name string) *Server {
+	t.Helper()
+	for _, s := range v.Services["search"].Servers {
+		if string(s.Name) == name {
+			return s
+		}
+	}
+	t.Fatalf("server %s is not in the view", name)
+	return nil
+}
+
+func peer(i int, region state.RegionName, domain state.DomainName) Item {
+	name := fmt.Sprintf("front-%d", i)
+	return Item{Key: "instances/" + name, Fact: &routing.Peer{Name: state.InstanceName(name), Region: region, Domain: domain}}
+}
+
+// Guards against full load on servers that became cold while their failure domain was evacuated.
+func TestDomainTakenBackCountsAsCold(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	evacuation := Item{Key: "evacuate/zone-0", Fact: Evacuation{Domain: "zone-0"}}
+	c.Step(testStart, Listed{append(servers(4), peer(1, "north", "zone-0"), evacuation)})
+	g.Expect(names(c.View())).To(Equal([]string{"s-01", "s-03"}))
+	back := testStart.Add(10 * time.Second)
+	c.Step(back, Changed{[]Item{{Key: evacuation.Key}}})
+	v := c.View()
+	g.Expect(names(v)).To(HaveLen(4))
+	g.Expect(find(t, v, "s-00").LimitedUntil).To(Equal(back.Add(GuardTime)))
+	g.Expect(find(t, v, "s-01").LimitedUntil).To(BeZero())
+	c.Step(back.Add(time.Second), Changed{[]Item{server(0)}})
+	g.Expect(find(t, c.View(), "s-00").LimitedUntil).To(BeZero(), "its heartbeat says that it is warm")
+}
+
+// Guards against full load on a server that tells that it is cold.
+func TestColdServerIsLimitedForAsLongAsItTells(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	it := server(0)
+	it.Fact.(*routing.Backend).ColdUntil = state.Instant(2 * time.Second)
+	c.Step(testStart, Listed{[]Item{it, peer(1, "north", "zone-0")}})
+	s := find(t, c.View(), "s-00")
+	g.Expect(s.LimitedUntil).To(Equal(testStart.Add(2 * time.Second)))
+	g.Expect(s.ColdSender).To(BeTrue(), "the only instance may send")
+}
+
+// Guards against requests that go on to a server that fails, and against a server that never comes back.
+func TestFailingServersAreEjectedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{servers(2)})
+	for range failuresToEject - 1 {
+		c.Step(testStart, Observed{Server: "s-00", Outcome: Failed})
+	}
+	g.Expect(find(t, c.View(), "s-00").EjectedUntil).To(BeZero())
+	c.Step(testStart, Observed{Server: "s-00", Outcome: Failed})
+	g.Expect(find(t, c.View(), "s-00").EjectedUntil).To(Equal(testStart.Add(firstEjection)))
+	c.Step(testStart, Observed{Server: "s-01", Outcome: Unreachable})
+	s := find(t, c.View(), "s-01")
+	g.Expect(s.EjectedUntil).To(Equal(testStart.Add(unreachableEject)))
+	g.Expect(s.LimitedUntil).To(Equal(testStart.Add(GuardTime)), "it may come back cold")
+	later := testStart
+	for range 20 {
+		later = later.Add(time.Minute)
+		c.Step(later, Observed{Server: "s-01", Outcome: Unreachable})
+		g.Expect(find(t, c.View(), "s-01").EjectedUntil.Sub(later)).To(BeNumerically("<=", longestEjection))
+	}
+}
+
+// Guards against an older configuration that replaces a newer one.
+func TestTableNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	for _, version := range []routing.Version{3, 7, 5, 7, 1} {
+		c.Step(testStart, Changed{[]Item{{Key: "config", Fact: &routing.Table{Version: version}}}})
+	}
+	g.Expect(c.View().Table.Version).To(Equal(routing.Version(7)))
+	c.Step(testStart, Listed{nil})
+	g.Expect(c.View()).To(BeNil(), "nothing has changed")
+}
+
+// Guards against shared limits that grow at once when instances have gone: their requests still count.
+func TestInstancesCountForAWhileAfterTheyHaveGone(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{[]Item{peer(1, "north", "a"), peer(2, "north", "a"), peer(3, "south", "b")}})
+	g.Expect(c.View().Instances).To(Equal(3))
+	c.Step(testStart.Add(time.Second), Changed{[]Item{{Key: "instances/front-3"}}})
+	v := c.View()
+	g.Expect(v.Instances).To(Equal(3))
+	g.Expect(v.Peers).To(HaveLen(2))
+	due, ok := c.NextTick()
+	g.Expect(ok).To(BeTrue())
+	c.Tick(due)
+	g.Expect(c.View().Instances).To(Equal(2))
+}
+
+// Guards against callers that are sent to another region or failure domain than their own without need.
+func TestEntriesAreNear(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{[]Item{
+		peer(1, "north", "a"), peer(2, "north", "a"), peer(3, "north", "b"), peer(4, "south", "c"),
+	}})
+	v := c.View()
+	count := func(domain state.DomainName, region state.RegionName) int { return len(v.Entries(domain, region)) }
+	g.Expect(count("a", "north")).To(Equal(2))
+	g.Expect(count("b", "north")).To(Equal(3), "one instance alone is not enough")
+	g.Expect(count("c", "south")).To(Equal(1), "never another region while the own one has an instance")
+	g.Expect(count("d", "west")).To(Equal(4))
+}
+
+// Guards against facts that are lost when another instance asks for them.
+func TestItemsAreWhatWasListed(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	items := append(servers(2), peer(1, "north", "a"),
+		Item{Key: "config", Fact: &routing.Table{Version: 3}}, Item{Key: "evacuate/x", Fact: Evacuation{Domain: "x"}},
+		Item{Key: "key", Fact: FleetKey("secret")})
+	c.Step(testStart, Listed{items})
+	reply := make(chan []Item, 1)
+	c.Step(testStart, Collect{Reply: reply})
+	g.Expect(<-reply).To(ConsistOf(items))
+}
--- /dev/null
+++ b/state/routing/routing_test.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/state"
+)
+
+func newTable() *Table {
+	t := &Table{
+		Version: 1, Services: map[state.ServiceName]Service{"a": {}, "b": {}},
+		Routes: []Route{
+			{Name: "short", Host: "x.example", Prefix: "/p/", Timeout: time.Second, MaxAttempts: 1, Parts: []Part{{"a", 1}}},
+			{Name: "long", Host: "x.example", Prefix: "/p/q/", Timeout: time.Second, MaxAttempts: 1, Parts: []Part{{"a", 90}, {"b", 10}}},
+			{Name: "other", Host: "y.example", Prefix: "/", Timeout: time.Second, MaxAttempts: 1, Parts: []Part{{"b", 1}}},
+		},
+	}
+	t.Index()
+	return t
+}
+
+// Guards against a request that is carried by the route of another host or of a shorter prefix.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := newTable()
+	for _, c := range []struct{ host, path, want string }{
+		{"x.example", "/p/1", "short"}, {"x.example", "/p/q/1", "long"}, {"x.example", "/p/q", "short"},
+		{"X.EXAMPLE", "/p/", "short"}, {"y.example", "/p/q/", "other"}, {"x.example", "/p", ""}, {"x.example", "/", ""},
+		{"z.example", "/p/", ""}, {"", "", ""},
+	} {
+		name := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			name = r.Name
+		}
+		NewWithT(t).Expect(name).To(Equal(c.want), "%s %s", c.host, c.path)
+	}
+}
+
+// Guards against a split that misses its weights.
+func TestPartsAreDrawnByWeight(t *testing.T) {
+	g := NewWithT(t)
+	r := newTable().Match("x.example", "/p/q/")
+	count := make(map[state.ServiceName]int)
+	const draws = 1000
+	for i := range draws {
+		count[r.Part(float64(i)/draws)]++
+	}
+	g.Expect(count).To(Equal(map[state.ServiceName]int{"a": 900, "b": 100}))
+	r.Parts = []Part{{"a", 0}, {"b", 5}}
+	for i := range draws {
+		g.Expect(r.Part(float64(i)/draws)).To(Equal(state.ServiceName("b")), "a part without weight gets nothing")
+	}
+}
+
+// Guards against a table in force that some request cannot be carried by.
+func TestValidateNamesTheRoute(t *testing.T) {
+	for want, change := range map[string]func(*Table){
+		"no version":          func(t *Table) { t.Version = 0 },
+		"no host":             func(t *Table) { t.Routes[0].Host = "" },
+		"does not begin":      func(t *Table) { t.Routes[0].Prefix = "/p" },
+		"allows no attempt":   func(t *Table) { t.Routes[0].MaxAttempts = 0 },
+		"has no timeout":      func(t *Table) { t.Routes[0].Timeout = 0 },
+		"unknown service":     func(t *Table) { t.Routes[0].Parts[0].Service = "c" },
+		"has weight -1":       func(t *Table) { t.Routes[0].Parts[0].Weight = -1 },
+		"no service with a w": func(t *Table) { t.Routes[0].Parts[0].Weight = 0 },
+	} {
+		table := newTable()
+		change(table)
+		NewWithT(t).Expect(table.Validate()).To(MatchError(ContainSubstring(want)))
+	}
+	NewWithT(t).Expect(newTable().Validate()).To(Succeed())
+}
