--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -169,6 +169,19 @@
 	return answer{id, resp.StatusCode, resp.Header, string(data), err}
 }
 
+// stream sends a body without telling its length.
+func (f *fixture) stream(body []byte) answer {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.program.cfg.Callers.String()+standin.WritePath, io.MultiReader(bytes.NewReader(body)))
+	f.Expect(err).NotTo(HaveOccurred())
+	r.Host = standin.Host
+	resp, err := f.client().Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	return answer{status: resp.StatusCode}
+}
+
 // read sends a request that may run more than once, write one that may not.
 func (f *fixture) read() answer {
 	return f.send(context.Background(), f.client(), http.MethodGet, "/read/a?q=1", "")
--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -230,8 +232,9 @@
 // Guards against requests past the limits of the table, and paths that no route matches.
 func TestLimitsOfCallers(t *testing.T) {
 	f := newFixture(t, 1)
-	large := make([]byte, 1<<20+1)
+	large := make([]byte, standin.MaxBody+1)
 	f.Expect(f.send(context.Background(), f.client(), http.MethodPost, "/write/a", string(large)).status).To(Equal(http.StatusRequestEntityTooLarge))
+	f.Expect(f.stream(large).status).NotTo(Equal(http.StatusOK), "a body without a length is counted")
 	f.Expect(f.send(context.Background(), f.client(), http.MethodGet, "/other/", "").status).To(Equal(http.StatusNotFound))
 	f.Expect(f.servers[0].Runs()).To(BeEmpty())
 }
@@ -248,3 +251,32 @@
 	f.Expect(f.usable()).To(Equal([]string{"i-0"}))
 	f.Expect(f.read().status).To(Equal(http.StatusOK))
 }
+
+// Guards against a request that waits until a server has read a long body, although it has answered, and against bytes
+// of that body where the server expects the next request.
+func TestServerThatAnswersBeforeItReadsTheBody(t *testing.T) {
+	f := newFixture(t, 1)
+	f.servers[0].Set(standin.Early)
+	long := strings.Repeat("x", 900<<10)
+	for range 2 {
+		a := f.send(context.Background(), f.client(), http.MethodPost, "/write/a", long)
+		f.Expect(a.status).To(Equal(http.StatusOK))
+		f.Expect(a.body).To(Equal("answer of i-0 to " + a.id))
+	}
+	f.servers[0].Release()
+}
+
+// Guards against an empty success for a caller that has stopped sending but still reads.
+func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
+	f := newFixture(t, 1)
+	f.servers[0].Set(standin.Hold)
+	c, err := net.Dial("tcp", f.program.cfg.Callers.String())
+	f.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /read/a HTTP/1.1\r\nHost: "+standin.Host+"\r\n\r\n")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Eventually(func() int { return len(f.servers[0].Runs()) }, patience).Should(Equal(1))
+	f.Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+	got, err := io.ReadAll(c)
+	f.Expect(string(got), err).To(BeEmpty())
+}
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -19,6 +19,9 @@
 	dialTimeout = 300 * time.Millisecond
 	// maxStrays bounds the answers to other requests that are passed over on one connection.
 	maxStrays = 4
+	// maxWaitedBody is the size up to which a request's body is written before the answer is read, in bytes. The server may
+	// answer before it has read a longer one.
+	maxWaitedBody = 16 << 10
 	// MaxBuffered is the size up to which an answer is read whole before it is passed on, in bytes.
 	MaxBuffered = 1 << 20
 )
@@ -123,14 +126,10 @@
 }
 
 func (x *exchange) run() (*Answer, error) {
-	written := make(chan error, 1)
-	if x.request.Rest == nil {
-		if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
-			return nil, x.fail("send to", n > 0, false, err)
-		}
-		written <- nil
-	} else {
-		go func() { written <- x.writeLong() }()
+	if x.request.long() {
+		go x.writeLong()
+	} else if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
+		return nil, x.fail("send to", n > 0, false, err)
 	}
 	resp, marks, err := x.readHead()
 	if err != nil {
@@ -146,35 +145,53 @@
 		a.Rest = &restReader{x: x, resp: resp}
 		return a, nil
 	}
-	x.finish(resp, written)
+	x.finish(resp)
 	return a, nil
 }
 
-// writeLong writes a request whose body is not held whole. The server may answer before it has read it.
-func (x *exchange) writeLong() error {
+// long reports whether the body is written while the answer is read.
+func (r *Request) long() bool { return r.Rest != nil || len(r.Body) > maxWaitedBody }
+
+// writeLong writes a request with a long body, while the answer is read. What fails on the server's side ends the reading
+// as well, so that only an error of the caller's side has to end the exchange.
+func (x *exchange) writeLong() {
+	source := &bodySource{Reader: bytes.NewReader(x.request.Body)}
+	if x.request.Rest != nil {
+		source.Reader = io.MultiReader(source.Reader, x.request.Rest)
+	}
 	if _, err := x.conn.Write(x.request.Head); err != nil {
-		return err
+		return
 	}
 	if !x.request.Chunked {
-		return x.copyBody(x.conn)
+		_, _ = io.Copy(x.conn, source)
+	} else if chunks := httputil.NewChunkedWriter(x.conn); copyAll(chunks, source) {
+		_, _ = io.WriteString(x.conn, "\r\n")
 	}
-	chunks := httputil.NewChunkedWriter(x.conn)
-	if err := x.copyBody(chunks); err != nil {
-		return err
+	if source.err != nil {
+		x.conn.Close()
 	}
-	if err := chunks.Close(); err != nil {
-		return err
+}
+
+// copyAll copies a body and closes the writer. It returns false when that fails.
+func copyAll(w io.WriteCloser, r io.Reader) bool {
+	if _, err := io.Copy(w, r); err != nil {
+		return false
 	}
-	_, err := io.WriteString(x.conn, "\r\n")
-	return err
+	return w.Close() == nil
 }
 
-func (x *exchange) copyBody(w io.Writer) error {
-	if _, err := w.Write(x.request.Body); err != nil {
-		return err
+// bodySource notes an error of the caller's side, which io.Copy does not tell from one of the server's.
+type bodySource struct {
+	io.Reader
+	err error
+}
+
+func (s *bodySource) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	if err != io.EOF {
+		s.err = err
 	}
-	_, err := io.Copy(w, x.request.Rest)
-	return err
+	return n, err
 }
 
 // readHead reads the head of the answer to this request, and passes over informational answers and late answers to
@@ -204,18 +221,13 @@
 	return nil, Marks{}, x.fail("read answer of", true, false, errors.New("too many answers to other requests"))
 }
 
-// finish returns the connection to the pool when both sides are done with the exchange and the server keeps it open.
-func (x *exchange) finish(resp *http.Response, written chan error) {
+// finish returns the connection to the pool when the server keeps it open. After a long body it is closed: the server may
+// have answered without having read all of it.
+func (x *exchange) finish(resp *http.Response) {
 	if !x.stop() {
 		return // ctx ended just now, and the connection is closed
 	}
-	done := false
-	select {
-	case err := <-written:
-		done = err == nil
-	default:
-	}
-	if !done || resp.Close || x.conn.reader.Buffered() > 0 {
+	if x.request.long() || resp.Close || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -52,6 +52,9 @@
 			continue
 		}
 		if answer.NotRun {
+			if q.rest != nil {
+				break // the body has been passed on and is not held
+			}
 			continue
 		}
 		q.ran = true
@@ -206,7 +209,7 @@
 	if q.r.Context().Err() != nil {
 		q.m.Stats.Left.Add(1)
 		q.log("caller left")
-		return true
+		panic(http.ErrAbortHandler) // an empty answer would look like a success to a caller that only stopped sending
 	}
 	q.m.Stats.TimedOut.Add(1)
 	q.answerOwn(http.StatusGatewayTimeout, "time is over", 0)
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,9 +62,13 @@
 	var b bytes.Buffer
 	_, err := io.CopyN(&b, body, maxHeldBody)
 	q.body = b.Bytes()
+	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		q.rest = body
+	case errors.As(err, &tooLarge):
+		q.answerOwn(http.StatusRequestEntityTooLarge, "body too large", 0)
+		return false
 	case err != io.EOF:
 		q.m.Stats.Left.Add(1)
 		q.log("body not read", "error", err.Error())
