--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -1,8 +1,6 @@
 package catalog
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"azurebridge/coordination/quota"
@@ -286,32 +284,6 @@
 	}
 }
 
-// items returns what the core knows of the store. Servers that are missing are left out.
-func (c *Core) items(now state.Instant) []Item {
-	var out []Item
-	if c.table != nil {
-		out = append(out, Item{Key: c.tableKey, Fact: c.table})
-	}
-	for key, m := range c.servers {
-		if m.vanished != 0 {
-			continue
-		}
-		b := m.Backend
-		b.ColdUntil = state.Instant(max(0, b.ColdUntil.Sub(now)))
-		out = append(out, Item{Key: key, Fact: &b})
-	}
-	for key, e := range c.evacuated {
-		out = append(out, Item{Key: key, Fact: e})
-	}
-	for key, p := range c.peers {
-		out = append(out, Item{Key: key, Fact: p})
-	}
-	if c.fleetKey != nil {
-		out = append(out, Item{Key: c.fleetKeyKey, Fact: FleetKey(c.fleetKey)})
-	}
-	return out
-}
-
 // TakeNotes returns what changed since the last call.
 func (c *Core) TakeNotes() []Note {
 	notes := c.notes
@@ -323,61 +295,3 @@
 	c.notes = append(c.notes, Note{message, fields})
 	c.dirty = true
 }
-
-// View returns a new view when something has changed since the last call, and nil otherwise.
-func (c *Core) View() *View {
-	if !c.dirty {
-		return nil
-	}
-	c.dirty = false
-	v := &View{
-		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.most, StoreLost: c.lost,
-		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey,
-	}
-	for _, e := range c.evacuated {
-		v.Evacuated[e.Domain] = true
-	}
-	names := make([]state.InstanceName, 0, len(c.peers))
-	for _, p := range c.peers {
-		v.Peers = append(v.Peers, *p)
-		names = append(names, p.Name)
-	}
-	slices.SortFunc(v.Peers, func(a, b routing.Peer) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	for _, m := range c.servers {
-		c.offerServer(v, m, names)
-	}
-	for _, s := range v.Services {
-		slices.SortFunc(s.Servers, func(a, b *Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	}
-	return v
-}
-
-// offerServer adds a server to the view when it may get requests.
-func (c *Core) offerServer(v *View, m *member, names []state.InstanceName) {
-	if m.Draining || v.Evacuated[m.Domain] {
-		return
-	}
-	s := v.Services[m.Service]
-	if s == nil {
-		s = &Service{Counters: c.countersOf(m.Service)}
-		v.Services[m.Service] = s
-	}
-	var rate float64
-	if c.table != nil {
-		rate = c.table.Services[m.Service].ColdRate
-	}
-	limited := max(m.ColdUntil, m.guarded)
-	s.Servers = append(s.Servers, &Server{
-		Backend: m.Backend, LimitedUntil: limited, EjectedUntil: m.health.ejectedUntil, Gauge: m.gauge,
-		ColdSender: limited != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
-	})
-}
-
-func (c *Core) countersOf(name state.ServiceName) *Counters {
-	n := c.counters[name]
-	if n == nil {
-		n = &Counters{}
-		c.counters[name] = n
-	}
-	return n
-}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -91,7 +91,11 @@
 
 // latest returns the expected time from which a request is refused.
 func (r *Request) latest(work time.Duration) time.Duration {
-	return max(min(lateFactor*r.Route.TargetLatency, r.Left), time.Duration(queueFactor*float64(work)))
+	late := r.Left
+	if target := r.Route.TargetLatency; target > 0 {
+		late = min(late, lateFactor*target)
+	}
+	return max(late, time.Duration(queueFactor*float64(work)))
 }
 
 // expected returns when the server is expected to answer one more request.
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -174,6 +174,20 @@
 	g.Expect(reason).To(Equal(Overloaded))
 }
 
+// Guards against a route without a target latency whose requests are refused although there is time.
+func TestRouteWithoutTargetMayTakeItsTime(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(2, "north")
+	v.Services["search"].Time.Learn(300*time.Millisecond, 1, 4)
+	for _, server := range v.Services["search"].Servers {
+		fill(server, 16)
+	}
+	r := newRequest("7")
+	r.Route.TargetLatency = 0
+	_, reason := Choose(v, r, now)
+	g.Expect(reason).To(Equal(Chosen))
+}
+
 // Guards against a service whose work takes longer than its target and which therefore refuses everything.
 func TestSlowWorkIsNotRefusedWithoutAQueue(t *testing.T) {
 	g := NewWithT(t)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -16,7 +16,6 @@
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
-	"azurebridge/state/routing"
 	"azurebridge/transport/backendconn"
 )
 
@@ -51,7 +50,7 @@
 type Manager struct {
 	opts      Options
 	retry     atomic.Pointer[quota.RetryLimit]
-	sizes     answerSizes
+	sizes     *answerSizes
 	log       *decisionLog
 	latencies *latencies
 	Stats     Stats
@@ -75,7 +74,7 @@
 
 // New returns a manager.
 func New(opts Options) *Manager {
-	m := &Manager{opts: opts, log: newDecisionLog(opts.Log), latencies: newLatencies(opts.Metrics)}
+	m := &Manager{opts: opts, sizes: newAnswerSizes(), log: newDecisionLog(opts.Log), latencies: newLatencies(opts.Metrics)}
 	m.ApplyRetryLimit(opts.Retry)
 	return m
 }
@@ -124,48 +123,3 @@
 	}
 	return host
 }
-
-// answerSizes remembers how large the answers of each route are.
-type answerSizes struct {
-	byRoute atomic.Pointer[map[string]float64]
-}
-
-// Sizes of answers.
-const (
-	// bulkBytes is the mean size from which answers cost more on long links than a cold backend server costs time.
-	bulkBytes = 16 << 10
-	// sizeWeight is the weight of the newest answer in the mean.
-	sizeWeight = 0.1
-)
-
-func (s *answerSizes) learn(route *routing.Route, size int) {
-	old := s.byRoute.Load()
-	if old == nil {
-		old = &map[string]float64{}
-	}
-	mean, known := (*old)[route.Prefix]
-	if !known {
-		mean = float64(size)
-	}
-	next := mean + sizeWeight*(float64(size)-mean)
-	if known && (mean > bulkBytes) == (next > bulkBytes) && abs(next-mean) < mean/50 {
-		return
-	}
-	changed := make(map[string]float64, len(*old)+1)
-	for k, v := range *old {
-		changed[k] = v
-	}
-	changed[route.Prefix] = next
-	s.byRoute.Store(&changed)
-}
-
-func (s *answerSizes) bulk(route *routing.Route) bool {
-	if known := s.byRoute.Load(); known != nil {
-		if mean, ok := (*known)[route.Prefix]; ok {
-			return mean > bulkBytes
-		}
-	}
-	return route.Download
-}
-
-func abs(x float64) float64 { return max(x, -x) }
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -1,4 +1,5 @@
-// Package peers carries messages between instances as datagrams. A lost or repeated message does no harm.
+// Package peers connects an instance with the others: a datagram tells the revision up to which the sender knows the store
+// (a lost or repeated one does no harm), and one that the store turns away asks another for all that it knows.
 package peers
 
 import (
