--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -25,6 +25,9 @@
 	instanceMemory = 15 * time.Second
 )
 
+// maxServerLines is the number of new servers in one change that are noted one by one.
+const maxServerLines = 3
+
 // massLapse is the least number of servers, and the least share of all, that vanish together in a lapse of leases.
 const (
 	massLapseCount = 4
@@ -160,6 +163,7 @@
 // change applies changes of single keys.
 func (c *Core) change(now state.Instant, items []Item) {
 	grace := c.grace(now, items)
+	single := c.newServers(items) <= maxServerLines
 	for _, it := range items {
 		c.dirty = true
 		switch f := it.Fact.(type) {
@@ -167,7 +171,7 @@
 			c.tableKey = it.Key
 			c.adopt(f)
 		case *routing.Backend:
-			c.join(now, it.Key, f)
+			c.join(now, it.Key, f, single)
 		case Evacuation:
 			c.evacuate(it.Key, f)
 		case *routing.Peer:
@@ -181,6 +185,20 @@
 	c.countInstances(now)
 }
 
+// newServers counts the servers that are listed for the first time, and notes them in one line when they are many.
+func (c *Core) newServers(items []Item) int {
+	n := 0
+	for _, it := range items {
+		if _, ok := it.Fact.(*routing.Backend); ok && c.servers[it.Key] == nil {
+			n++
+		}
+	}
+	if n > maxServerLines {
+		c.note("backend servers listed", "servers", n)
+	}
+	return n
+}
+
 // grace returns how long servers that vanish in these changes stay in use: 0 unless so many vanish that leases seem to
 // have lapsed. A few that vanish have left, and the others can carry their load.
 func (c *Core) grace(now state.Instant, items []Item) time.Duration {
@@ -208,13 +226,14 @@
 	c.note("routing table in force", "version", uint64(t.Version), "routes", len(t.Routes), "services", len(t.Services))
 }
 
-func (c *Core) join(now state.Instant, key string, b *routing.Backend) {
+// join takes a server's entry. single says that a new server gets a line of its own in the log.
+func (c *Core) join(now state.Instant, key string, b *routing.Backend, single bool) {
 	m := c.servers[key]
 	if m == nil || m.Born != b.Born || m.Address != b.Address {
 		m = &member{gauge: &Gauge{}}
 		c.servers[key] = m
 	}
-	if m.Name == "" || m.Draining != b.Draining {
+	if m.Name == "" && single || m.Name != "" && m.Draining != b.Draining {
 		c.note("backend server listed", "server", string(b.Name), "service", string(b.Service), "domain", string(b.Domain),
 			"draining", b.Draining, "cold_ms", int64(b.ColdUntil)/int64(time.Millisecond))
 	}
--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -200,3 +200,13 @@
 	c.Step(testStart, Collect{Reply: reply})
 	g.Expect(<-reply).To(ConsistOf(items))
 }
+
+// Guards against a line for each server when an instance starts among hundreds of them.
+func TestManyNewServersAreNotedInOneLine(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{servers(300)})
+	g.Expect(c.TakeNotes()).To(ConsistOf(Note{"backend servers listed", []any{"servers", 300}}))
+	c.Step(testStart, Changed{[]Item{server(300)}})
+	g.Expect(c.TakeNotes()).To(HaveLen(1))
+}
--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -11,7 +11,7 @@
 
 // Lines a second of the decision log, by kind. What is left out is counted and told in one line.
 const (
-	servedPerSecond = 2  // calm successes are sampled
+	servedPerSecond = 1  // calm successes are sampled
 	otherPerSecond  = 40 // everything that went wrong for a request
 )
 
