--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -210,3 +210,13 @@
 	c.Step(testStart, Changed{[]Item{server(300)}})
 	g.Expect(c.TakeNotes()).To(HaveLen(1))
 }
+
+// Guards against the loss of a sound server's room when single answers of it are lost: only a server that takes no
+// connection may have restarted.
+func TestLostAnswersDoNotMakeAServerCold(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{servers(2)})
+	c.Step(testStart, Observed{Server: "s-00", Outcome: Broken})
+	g.Expect(find(t, c.View(), "s-00").LimitedUntil).To(BeZero())
+}
--- a/coordination/catalog/health.go
+++ b/coordination/catalog/health.go
@@ -46,8 +46,6 @@
 		m.guarded = max(m.guarded, now.Add(GuardTime))
 		c.eject(now, m, unreachableEject<<min(h.ejections, 4), o.Outcome)
 	case Broken:
-		m.guarded = max(m.guarded, now.Add(GuardTime))
-		c.dirty = true
 		h.failures++
 	}
 	if h.failures >= failuresToEject {
