--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -280,3 +280,14 @@
 	got, err := io.ReadAll(c)
 	f.Expect(string(got), err).To(BeEmpty())
 }
+
+// Guards against a body that is not held and is sent to a second server without its rest.
+func TestStreamedBodyIsNotSentTwice(t *testing.T) {
+	f := newFixture(t, 2)
+	for _, s := range f.servers {
+		s.Set(standin.Shed)
+	}
+	f.Expect(f.stream(make([]byte, standin.MaxBody)).status).To(Equal(http.StatusServiceUnavailable))
+	tries := f.program.pool.Stats.Opened.Load() + f.program.pool.Stats.Reused.Load()
+	f.Expect(tries).To(Equal(uint64(1)))
+}
