--- a/coordination/catalog/health.go
+++ b/coordination/catalog/health.go
@@ -8,9 +8,9 @@
 
 // Ejection of backend servers that fail.
 const (
-	failuresToEject  = 3                      // failures in a row, or nearly
-	firstEjection    = 1 * time.Second        // doubles with each further one
-	longestEjection  = 8 * time.Second        //
+	failuresToEject  = 3               // failures in a row, or nearly
+	firstEjection    = 1 * time.Second // doubles with each further one
+	longestEjection  = 8 * time.Second
 	unreachableEject = 500 * time.Millisecond // first ejection of a server that takes no connection
 )
 
