peers, gossip: readers of the store relay its changes to their group

Ruled out: a longer pause after changes (bounds of configuration and draining); datagrams with the changes (a routing table does not fit); relays by one reader (one that is cut from the store unnoticed would hide changes).

Change: two readers of each group of at most 48 instances watch and stream signed changes; an instance trusts them only while it hears both, and a reader ends its streams when the store has not answered it for 1.5 s. A gap leads to a listing.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -24,6 +24,7 @@
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
 	"azurebridge/platform"
+	"azurebridge/protocol/factwire"
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -66,8 +67,11 @@
 	registrar *metastore.Registrar
 	pool      *backendconn.Pool
 	front     *front.Manager
+	contact   *metastore.Contact // with the store
 	peers     *peers.Node
 	asker     *peers.Asker
+	relay     *peers.Relay
+	readers   *peers.Subscriber
 	callers   *http.Server
 	conns     *front.Conns // of callers
 	listener  net.Listener // of callers
@@ -103,14 +107,25 @@
 		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(),
 	}
 	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
+	p.contact = metastore.NewContact(p.loop.Now)
+	p.readers = peers.NewSubscriber(peers.SubscriberOptions{
+		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Log: p.log.Named("peers"),
+	})
 	p.follower = metastore.NewFollower(metastore.FollowerOptions{
-		Store: p.store, To: p.loop, Log: p.log.Named("store"),
-		Wait: func() time.Duration { return gossip.WatchWait(p.loop.View().Instances, rand.Float64()) },
-		Tell: func(revision uint64) { p.peers.Tell(revision) },
-		Ask:  p.askPeers,
+		Store: p.store, To: p.loop, Log: p.log.Named("store"), Contact: p.contact,
+		Wait: func() time.Duration {
+			return gossip.WatchWait(gossip.Watchers(p.loop.View(), cfg.Name, cfg.Region), rand.Float64())
+		},
+		Tell:   func(revision uint64) { p.peers.Tell(revision) },
+		Ask:    p.askPeers,
+		Relays: p.readers, Publish: func(facts *factwire.Facts) { p.relay.Publish(facts) },
+	})
+	p.relay = peers.NewRelay(peers.RelayOptions{
+		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Revision: p.follower.Revision, Log: p.log.Named("peers"),
+		InTouch: func() bool { return p.contact.Within(gossip.ContactAge) },
 	})
 	p.asker = peers.NewAsker(p.loop, cfg.Peers.String(), cfg.Seeds)
-	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.follower.Relist, p.log.Named("store"))
+	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
@@ -160,7 +175,8 @@
 		return err
 	}
 	for _, work := range []func(context.Context){
-		p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.watchSettings,
+		p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.relay.Run,
+		p.readers.Run, p.watchSettings,
 	} {
 		go work(ctx)
 	}
@@ -191,7 +207,7 @@
 // listen opens the listeners and serves them.
 func (p *program) listen(failed chan<- error) error {
 	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
-	facts := peers.FactsHandler(p.loop, p.follower.Revision)
+	facts := peers.Handler(p.loop, p.follower.Revision, p.relay)
 	for _, s := range []struct {
 		address netip.AddrPort
 		server  *http.Server
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -68,7 +68,7 @@
 func (p *program) register() {
 	observe.Register(p.metrics, map[string]any{
 		"front": &p.front.Stats, "connections": &p.pool.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
-		"peers": &p.peers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.lines.Dropped,
+		"peers": &p.peers.Stats, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.lines.Dropped,
 	})
 	gauge := func(name string, read func(v *catalog.View) int64) {
 		p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return read(p.loop.View()) }))
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -1,9 +1,11 @@
-// Package gossip decides whom an instance tells how new its knowledge of the store is. A watch of the store may wait on
-// without hearing of changes. The instances' watches end at different times, so that one of them soon finds out, lists the
-// store again and tells the others. The package does no I/O.
+// Package gossip decides which instances read the store for others, and whom an instance tells how new its knowledge of the
+// store is. A few readers watch the store and relay its changes. A watch may wait on without hearing of changes: the
+// readers' watches end at different times, so that one of them soon finds out, lists the store again and tells the others.
+// The package does no I/O.
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"azurebridge/coordination/catalog"
@@ -11,13 +13,13 @@
 	"azurebridge/state/routing"
 )
 
-// MaxPeers bounds the instances of the own region that one message goes to. In larger regions they are drawn anew each
-// time, and those that list the store again tell others in turn.
+// MaxPeers bounds the readers of the own region that one message goes to. In larger regions they are drawn anew each time,
+// and those that list the store again tell others in turn.
 const MaxPeers = 8
 
 // Times of watches.
 const (
-	// checkInterval is the mean time between the ends of watches, over all instances.
+	// checkInterval is the mean time between the ends of watches, over all that watch.
 	checkInterval = 350 * time.Millisecond
 	shortestWatch = time.Second
 	longestWatch  = 28 * time.Second
@@ -30,33 +32,33 @@
 	Revision uint64
 }
 
-// WatchWait returns how long an instance watches the store before it asks again: about checkInterval for each instance,
-// spread by draw, a random number from 0 to 1, so that the watches of the fleet end one after the other.
-func WatchWait(instances int, draw float64) time.Duration {
-	mean := float64(checkInterval) * float64(max(1, instances))
+// WatchWait returns how long one of several instances watches the store before it asks again: about checkInterval for each
+// of them, spread by draw, a random number from 0 to 1, so that their watches end one after the other.
+func WatchWait(watchers int, draw float64) time.Duration {
+	mean := float64(checkInterval) * float64(max(1, watchers))
 	return min(max(time.Duration(mean*(0.5+draw)), shortestWatch), longestWatch)
 }
 
-// Peers returns the instances that get a message: those of the own region, and one of each other region.
+// Peers returns the instances that get a message: readers of the own region, and one of each other region. The readers
+// relay what they find to the others.
 func Peers(v *catalog.View, self state.InstanceName, region state.RegionName, draw func(n int) int) []routing.Peer {
-	var near []routing.Peer
-	far := make(map[state.RegionName][]routing.Peer)
-	for _, p := range v.Peers {
-		switch {
-		case p.Name == self || p.PeerAddress == "":
-		case p.Region == region:
-			near = append(near, p)
-		default:
-			far[p.Region] = append(far[p.Region], p)
+	var out []routing.Peer
+	for _, r := range regions(v) {
+		list := slices.DeleteFunc(allReaders(v, r), func(p routing.Peer) bool { return p.Name == self || p.PeerAddress == "" })
+		bound := 1
+		if r == region {
+			bound = MaxPeers
 		}
-	}
-	for i := 0; i < MaxPeers && len(near) > MaxPeers; i++ {
-		j := i + draw(len(near)-i)
-		near[i], near[j] = near[j], near[i]
-	}
-	out := near[:min(len(near), MaxPeers)]
-	for _, list := range far {
-		out = append(out, list[draw(len(list))])
+		out = append(out, sample(list, bound, draw)...)
 	}
 	return out
 }
+
+// sample returns n instances drawn from the list, which it reorders, or all when there are no more.
+func sample(list []routing.Peer, n int, draw func(n int) int) []routing.Peer {
+	for i := 0; i < n && len(list) > n; i++ {
+		j := i + draw(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:min(n, len(list))]
+}
--- /dev/null
+++ b/coordination/gossip/readers.go
@@ -0,0 +1,120 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// Sizes and times of relays. Readers watch the store and relay its changes to the other instances of their group, which
+// make no calls of their own for that.
+const (
+	// ReadersPerGroup is the number of readers of a group. An instance trusts relays only while it hears all readers of its
+	// group, so that one which has lost the store unnoticed hides nothing.
+	ReadersPerGroup = 2
+	// groupSize bounds the instances that a reader relays to, in the mean.
+	groupSize = 48
+	// RelayInterval is the time between two messages of a reader without changes.
+	RelayInterval = 800 * time.Millisecond
+	// RelaySilence is how long a reader may be silent before it is no longer trusted: one message lost. The store's answer
+	// that follows is in time for changes that must be in force within 2.5 s.
+	RelaySilence = 1800 * time.Millisecond
+	// ContactAge is how long ago the store must have answered a reader for it to be trusted. The renewal of its lease is due
+	// before that. With the watch that follows it keeps a change from staying unknown for two seconds.
+	ContactAge = 1500 * time.Millisecond
+)
+
+// Readers returns the readers of the instance's group: those that come first by a hash of their names, in different failure
+// domains where the group has several. An instance that is not listed is in a group, too, and never a reader.
+func Readers(v *catalog.View, self state.InstanceName, region state.RegionName) []routing.Peer {
+	groups := groupCount(v, region)
+	own := groupOf(self, groups)
+	var group []routing.Peer
+	for _, p := range v.Peers {
+		if p.Region == region && groupOf(p.Name, groups) == own {
+			group = append(group, p)
+		}
+	}
+	return first(group)
+}
+
+// IsReader reports whether the instance is among the readers.
+func IsReader(self state.InstanceName, readers []routing.Peer) bool {
+	return slices.ContainsFunc(readers, func(p routing.Peer) bool { return p.Name == self })
+}
+
+// allReaders returns the readers of all groups of a region.
+func allReaders(v *catalog.View, region state.RegionName) []routing.Peer {
+	groups := make([][]routing.Peer, groupCount(v, region))
+	for _, p := range v.Peers {
+		if p.Region == region {
+			g := groupOf(p.Name, len(groups))
+			groups[g] = append(groups[g], p)
+		}
+	}
+	var out []routing.Peer
+	for _, g := range groups {
+		out = append(out, first(g)...)
+	}
+	return out
+}
+
+// Watchers returns the number of instances whose watches are to end one after the other: the readers of the fleet for one
+// of them, and all instances for one that watches while its readers are away.
+func Watchers(v *catalog.View, self state.InstanceName, region state.RegionName) int {
+	if IsReader(self, Readers(v, self, region)) {
+		return readerCount(v)
+	}
+	return len(v.Peers)
+}
+
+// readerCount returns the number of readers of the fleet.
+func readerCount(v *catalog.View) int {
+	n := 0
+	for _, region := range regions(v) {
+		n += len(allReaders(v, region))
+	}
+	return n
+}
+
+func groupCount(v *catalog.View, region state.RegionName) int {
+	n := 0
+	for _, p := range v.Peers {
+		if p.Region == region {
+			n++
+		}
+	}
+	return max(1, (n+groupSize-1)/groupSize)
+}
+
+func groupOf(name state.InstanceName, groups int) int {
+	return int(state.RendezvousScore("relay group", string(name)) % uint64(groups))
+}
+
+// first returns the readers of a group.
+func first(group []routing.Peer) []routing.Peer {
+	slices.SortFunc(group, func(a, b routing.Peer) int {
+		return cmp.Compare(state.RendezvousScore("relay reader", string(a.Name)), state.RendezvousScore("relay reader", string(b.Name)))
+	})
+	if len(group) > ReadersPerGroup {
+		other := slices.IndexFunc(group, func(p routing.Peer) bool { return p.Domain != group[0].Domain })
+		if other > 1 {
+			group[1], group[other] = group[other], group[1]
+		}
+	}
+	return group[:min(ReadersPerGroup, len(group))]
+}
+
+func regions(v *catalog.View) []state.RegionName {
+	var out []state.RegionName
+	for _, p := range v.Peers {
+		if !slices.Contains(out, p.Region) {
+			out = append(out, p.Region)
+		}
+	}
+	return out
+}
--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -1,8 +1,11 @@
-// Package factwire encodes what an instance knows of the store, for an instance that the store turns away: CBOR, followed
-// by the signature of the fleet.
+// Package factwire encodes what an instance knows of the store for other instances, whole or as changes: CBOR, followed by
+// the signature of the fleet.
 package factwire
 
 import (
+	"encoding/binary"
+	"io"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -14,20 +17,23 @@
 // MaxSize bounds an encoded state, in bytes: the store's largest value and some thousand entries fit.
 const MaxSize = 8 << 20
 
-// Facts is the content of the store as an instance knows it.
+// Facts is the content of the store as an instance knows it, or what has changed in it.
 type Facts struct {
+	After    uint64 // 0 for the whole content; otherwise Items are the changes after this revision
 	Revision uint64 // up to which the instance knows the store
 	Items    []catalog.Item
 }
 
 type frame struct {
+	After    uint64 `cbor:",omitempty"`
 	Revision uint64
 	Items    []itemFrame
 }
 
-// itemFrame holds one of the kinds of facts.
+// itemFrame holds one of the kinds of facts, or says that the key is gone.
 type itemFrame struct {
 	Key        string
+	Gone       bool                `cbor:",omitempty"`
 	Table      *routing.Table      `cbor:",omitempty"`
 	Backend    *routing.Backend    `cbor:",omitempty"`
 	Evacuation *catalog.Evacuation `cbor:",omitempty"`
@@ -37,7 +43,7 @@
 
 // Encode returns the encoded facts, signed with the fleet's key when there is one.
 func Encode(key []byte, facts *Facts) ([]byte, error) {
-	f := frame{Revision: facts.Revision}
+	f := frame{After: facts.After, Revision: facts.Revision}
 	for _, it := range facts.Items {
 		out := itemFrame{Key: it.Key}
 		switch fact := it.Fact.(type) {
@@ -51,6 +57,8 @@
 			out.Peer = fact
 		case catalog.FleetKey:
 			out.FleetKey = fact
+		case nil:
+			out.Gone = true
 		default:
 			return nil, errors.Errorf("encode facts: %s is of the unknown kind %T", it.Key, fact)
 		}
@@ -73,7 +81,7 @@
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode facts")
 	}
-	out := &Facts{Revision: f.Revision}
+	out := &Facts{After: f.After, Revision: f.Revision}
 	for _, it := range f.Items {
 		fact, err := it.fact()
 		if err != nil {
@@ -84,6 +92,32 @@
 	return out, nil
 }
 
+// lengthSize is the size of the length in front of each message of a stream, in bytes.
+const lengthSize = 4
+
+// AppendMessage appends an encoded message and its length to a stream.
+func AppendMessage(stream, message []byte) []byte {
+	stream = binary.BigEndian.AppendUint32(stream, uint32(len(message)))
+	return append(stream, message...)
+}
+
+// ReadMessage reads the next encoded message of a stream.
+func ReadMessage(r io.Reader) ([]byte, error) {
+	var length [lengthSize]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, errors.Wrap(err, "read message")
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > MaxSize {
+		return nil, errors.Errorf("read message: %d bytes, limit is %d", n, MaxSize)
+	}
+	data, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err == nil && len(data) < int(n) {
+		err = io.ErrUnexpectedEOF
+	}
+	return data, errors.Wrap(err, "read message")
+}
+
 func (it *itemFrame) fact() (catalog.Fact, error) {
 	switch {
 	case it.Table != nil:
@@ -100,6 +134,8 @@
 		return it.Peer, nil
 	case it.FleetKey != nil:
 		return it.FleetKey, nil
+	case it.Gone:
+		return nil, nil
 	}
 	return nil, errors.New("no fact")
 }
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -10,6 +10,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/internal/wait"
+	"azurebridge/protocol/factwire"
 )
 
 // Times of the follower.
@@ -24,14 +25,15 @@
 	firstBackoff   = 200 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
 	// behindTime is how long another instance may know a newer revision before the follower lists again: mostly the watch
-	// brings it meanwhile.
-	behindTime = 150 * time.Millisecond
+	// brings it meanwhile, once the pause after earlier changes is over.
+	behindTime = settle + 150*time.Millisecond
 )
 
 // Reasons to list the store again.
 var (
 	errAsked  = errors.New("another instance knows a newer revision, or the store was away")
 	errMissed = errors.New("the revision has grown without changes")
+	errGap    = errors.New("a reader knows changes that it has not relayed")
 )
 
 // Teller takes the events of the store.
@@ -39,16 +41,29 @@
 	Tell(ctx context.Context, ev catalog.Event)
 }
 
+// Relays gives what other instances, the readers, relay of the store.
+type Relays interface {
+	// Covered reports whether the relays are complete, so that this instance need not watch the store.
+	Covered() bool
+	// Uncovered tells when that may have ended.
+	Uncovered() <-chan struct{}
+	// Deltas gives the relayed changes. A reader that has nothing new repeats its revision.
+	Deltas() <-chan *factwire.Facts
+}
+
 // FollowerOptions are the inputs of a Follower.
 type FollowerOptions struct {
 	Store Store
 	To    Teller
 	Wait  func() time.Duration  // how long the next watch waits for changes
-	Tell  func(revision uint64) // told when a listing has brought more than the watches
+	Tell  func(revision uint64) // told when a listing may have brought more than the watches of others
 	// Ask returns what another instance knows after a revision, and false when it knows nothing more. It is called while the
 	// store does not answer.
-	Ask func(ctx context.Context, after Revision) ([]catalog.Item, Revision, bool)
-	Log hclog.Logger
+	Ask     func(ctx context.Context, after Revision) ([]catalog.Item, Revision, bool)
+	Relays  Relays
+	Publish func(*factwire.Facts) // told what a call to the store has brought
+	Contact *Contact
+	Log     hclog.Logger
 }
 
 // Follower passes the content of the store and its changes to the control goroutine.
@@ -66,8 +81,9 @@
 	Watches   atomic.Uint64
 	Failures  atomic.Uint64
 	Compacted atomic.Uint64
-	Relayed   atomic.Uint64 // listings that another instance gave
-	Abandoned atomic.Uint64 // watches that may have missed changes
+	Asked     atomic.Uint64 // listings that another instance gave
+	Relayed   atomic.Uint64 // changes that a reader relayed
+	Abandoned atomic.Uint64 // watches and relays that may have missed changes
 }
 
 // NewFollower returns a follower; Run starts it.
@@ -104,22 +120,29 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := firstBackoff
 	var at Revision
-	listed := false
+	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
+		switch {
+		case !listed:
 			at, err = f.list(ctx)
 			listed = err == nil
-		} else {
+			if listed && !gap { // the readers know what a gap was about
+				f.opts.Tell(uint64(at))
+			}
+			gap = false
+		case f.opts.Relays.Covered():
+			at, err = f.relayed(ctx, at)
+		default:
 			at, err = f.watch(ctx, at)
 		}
 		switch {
 		case err == nil:
 			backoff = firstBackoff
-		case errors.Is(err, errAsked), errors.Is(err, errMissed):
+		case errors.Is(err, errAsked), errors.Is(err, errMissed), errors.Is(err, errGap):
 			f.Stats.Abandoned.Add(1)
-			f.opts.Log.Warn("watch may have missed changes; listing the store again", "revision", uint64(at), "why", err.Error())
-			listed = false
+			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", uint64(at), "why", err.Error())
+			listed, gap = false, errors.Is(err, errGap)
 		case errors.Is(err, ErrCompacted):
 			f.Stats.Compacted.Add(1)
 			f.opts.Log.Warn("history of the store is gone; listing again", "revision", uint64(at))
@@ -129,7 +152,7 @@
 			if items, newer, ok := f.opts.Ask(ctx, at); ok {
 				f.opts.To.Tell(ctx, catalog.Listed{Items: items})
 				f.at.Store(uint64(newer))
-				f.Stats.Relayed.Add(1)
+				f.Stats.Asked.Add(1)
 				at, listed = newer, true
 			}
 			if !wait.For(ctx, backoff) {
@@ -148,10 +171,11 @@
 	if err != nil {
 		return 0, err
 	}
+	f.opts.Contact.Mark()
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	f.opts.To.Tell(ctx, catalog.Listed{Items: items})
 	f.at.Store(uint64(at))
-	f.opts.Tell(uint64(at))
+	f.opts.Publish(&factwire.Facts{After: uint64(at), Revision: uint64(at)})
 	return at, nil
 }
 
@@ -167,15 +191,47 @@
 	if len(items) == 0 && at > after {
 		return after, errMissed
 	}
+	f.opts.Contact.Mark()
 	f.at.Store(uint64(at))
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	if len(items) > 0 {
 		f.opts.To.Tell(ctx, catalog.Changed{Items: items})
+		f.opts.Publish(&factwire.Facts{After: uint64(after), Revision: uint64(at), Items: items})
 		wait.For(ctx, settle)
 	}
 	return at, nil
 }
 
+// relayed takes changes from the readers until they no longer cover this instance.
+func (f *Follower) relayed(ctx context.Context, at Revision) (Revision, error) {
+	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(at))
+	for {
+		select {
+		case <-ctx.Done():
+			return at, nil
+		case <-f.relist:
+			return at, errAsked
+		case <-f.opts.Relays.Uncovered():
+			if !f.opts.Relays.Covered() {
+				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", uint64(at))
+				return at, nil
+			}
+		case d := <-f.opts.Relays.Deltas():
+			switch {
+			case d.Revision <= uint64(at):
+				continue
+			case d.After > uint64(at):
+				return at, errGap
+			}
+			f.Stats.Relayed.Add(1)
+			at = Revision(d.Revision)
+			f.at.Store(d.Revision)
+			f.opts.To.Tell(ctx, catalog.StoreRegained{})
+			f.opts.To.Tell(ctx, catalog.Changed{Items: d.Items})
+		}
+	}
+}
+
 // interruptible watches the store until it answers or a new listing is asked for.
 func (f *Follower) interruptible(ctx context.Context, cancel func(), after Revision, pause time.Duration) ([]catalog.Item, Revision, error) {
 	done := make(chan struct{})
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -26,6 +26,7 @@
 type Registrar struct {
 	store    Store
 	to       Teller
+	contact  *Contact
 	regained func() // called when the store answers again
 	log      hclog.Logger
 
@@ -34,10 +35,10 @@
 	stopped bool
 }
 
-// NewRegistrar returns a registrar; Run starts it. It tells to when the store does not answer, and calls regained when it
-// does again.
-func NewRegistrar(store Store, to Teller, regained func(), log hclog.Logger) *Registrar {
-	return &Registrar{store: store, to: to, regained: regained, log: log}
+// NewRegistrar returns a registrar; Run starts it. It tells to when the store does not answer, marks contact when it does,
+// and calls regained when it does again.
+func NewRegistrar(store Store, to Teller, contact *Contact, regained func(), log hclog.Logger) *Registrar {
+	return &Registrar{store: store, to: to, contact: contact, regained: regained, log: log}
 }
 
 // Run registers the instance and renews its lease until ctx ends or Leave is called.
@@ -48,7 +49,11 @@
 		if err != nil && ctx.Err() == nil && !r.left() {
 			r.log.Warn("entry in the store not renewed", "error", err.Error())
 		}
-		switch answered := err == nil || errors.Is(err, ErrNoLease); {
+		answered := err == nil || errors.Is(err, ErrNoLease)
+		if answered {
+			r.contact.Mark()
+		}
+		switch {
 		case answered && away:
 			away = false
 			r.regained()
--- a/transport/peers/facts.go
+++ b/transport/peers/facts.go
@@ -22,9 +22,11 @@
 	factsTimeout = 700 * time.Millisecond
 )
 
-// FactsHandler answers other instances that ask what this one knows of the store, revision being what it knows it up to.
-func FactsHandler(loop *catalog.Loop, revision func() uint64) http.Handler {
+// Handler answers other instances that ask what this one knows of the store, revision being what it knows it up to, and
+// those that listen to its relay.
+func Handler(loop *catalog.Loop, revision func() uint64, relay *Relay) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("GET "+relayPath, relay)
 	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 		if err != nil {
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -1,5 +1,6 @@
-// Package peers connects an instance with the others: a datagram tells the revision up to which the sender knows the store
-// (a lost or repeated one does no harm), and one that the store turns away asks another for all that it knows.
+// Package peers connects an instance with the others. Readers of the store relay its changes in streams, a datagram tells
+// the revision up to which the sender knows the store (a lost or repeated one does no harm), and an instance that the store
+// turns away asks another for all that it knows.
 package peers
 
 import (
--- /dev/null
+++ b/transport/peers/subscriber.go
@@ -0,0 +1,193 @@
+package peers
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/gossip"
+	"azurebridge/protocol/factwire"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+	"azurebridge/transport/backend"
+)
+
+// maxDeltas bounds the relayed changes that wait for the follower. When it lacks one, it lists the store.
+const maxDeltas = 32
+
+// SubscriberOptions are the inputs of a Subscriber.
+type SubscriberOptions struct {
+	Self   state.InstanceName
+	Region state.RegionName
+	Loop   *catalog.Loop
+	Log    hclog.Logger
+}
+
+// Subscriber receives what the readers of this instance's group relay.
+type Subscriber struct {
+	opts   SubscriberOptions
+	client http.Client
+	Stats  SubscriberStats
+
+	deltas    chan *factwire.Facts
+	uncovered chan struct{}
+
+	mu      sync.Mutex
+	streams map[state.InstanceName]*subscription // by reader
+}
+
+// SubscriberStats counts what an instance gets from readers.
+type SubscriberStats struct {
+	Received atomic.Uint64
+	Rejected atomic.Uint64 // not signed by this fleet, or not readable
+	Missed   atomic.Uint64 // dropped because the follower was behind
+	Ended    atomic.Uint64 // streams
+}
+
+// subscription is a stream from a reader.
+type subscription struct {
+	cancel context.CancelFunc
+	heard  bool // the reader has sent something
+}
+
+// NewSubscriber returns a subscriber; Run starts it.
+func NewSubscriber(opts SubscriberOptions) *Subscriber {
+	transport := &http.Transport{DialContext: backend.Dial, DisableCompression: true, DisableKeepAlives: true}
+	return &Subscriber{
+		opts: opts, client: http.Client{Transport: transport}, deltas: make(chan *factwire.Facts, maxDeltas),
+		uncovered: make(chan struct{}, 1), streams: make(map[state.InstanceName]*subscription),
+	}
+}
+
+// Deltas gives the relayed changes.
+func (s *Subscriber) Deltas() <-chan *factwire.Facts { return s.deltas }
+
+// Uncovered tells when Covered may have become false.
+func (s *Subscriber) Uncovered() <-chan struct{} { return s.uncovered }
+
+// Covered reports whether all readers of the group relay to this instance. It is false for a reader.
+func (s *Subscriber) Covered() bool {
+	readers := s.readers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range readers {
+		if st := s.streams[r.Name]; st == nil || !st.heard {
+			return false
+		}
+	}
+	return len(readers) == gossip.ReadersPerGroup
+}
+
+// readers returns the readers that this instance listens to: none when it is one, or cannot check signatures.
+func (s *Subscriber) readers() []routing.Peer {
+	v := s.opts.Loop.View()
+	readers := gossip.Readers(v, s.opts.Self, s.opts.Region)
+	if len(v.FleetKey) == 0 || gossip.IsReader(s.opts.Self, readers) {
+		return nil
+	}
+	return readers
+}
+
+// Run keeps a stream from each reader until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	ticker := time.NewTicker(gossip.RelayInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.reconcile(ctx)
+		}
+	}
+}
+
+// reconcile starts the streams that are missing and ends those from instances that are readers no more.
+func (s *Subscriber) reconcile(ctx context.Context) {
+	readers := s.readers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, st := range s.streams {
+		if !gossip.IsReader(name, readers) {
+			st.cancel()
+		}
+	}
+	for _, r := range readers {
+		if s.streams[r.Name] != nil || r.PeerAddress == "" {
+			continue
+		}
+		call, cancel := context.WithCancel(ctx)
+		st := &subscription{cancel: cancel}
+		s.streams[r.Name] = st
+		go s.receive(call, r, st)
+	}
+	s.signal()
+}
+
+// receive reads one stream until it ends or is silent for too long.
+func (s *Subscriber) receive(ctx context.Context, reader routing.Peer, st *subscription) {
+	err := s.read(ctx, reader, st)
+	st.cancel()
+	s.mu.Lock()
+	delete(s.streams, reader.Name)
+	s.mu.Unlock()
+	s.signal()
+	s.Stats.Ended.Add(1)
+	s.opts.Log.Debug("stream of a reader ended", "reader", string(reader.Name), "error", err.Error())
+}
+
+func (s *Subscriber) read(ctx context.Context, reader routing.Peer, st *subscription) error {
+	silence := time.AfterFunc(gossip.RelaySilence, st.cancel)
+	defer silence.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.PeerAddress+relayPath, nil)
+	if err != nil {
+		return errors.Wrapf(err, "subscribe to %s", reader.Name)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "subscribe to %s", reader.Name)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("subscribe to %s: status %d", reader.Name, resp.StatusCode)
+	}
+	for {
+		message, err := factwire.ReadMessage(resp.Body)
+		if err != nil {
+			return errors.Wrapf(err, "stream of %s", reader.Name)
+		}
+		silence.Reset(gossip.RelaySilence)
+		facts, err := factwire.Decode(s.opts.Loop.View().FleetKey, message)
+		if err != nil {
+			s.Stats.Rejected.Add(1)
+			return errors.Wrapf(err, "stream of %s", reader.Name)
+		}
+		s.deliver(facts, st)
+	}
+}
+
+// deliver passes changes to the follower without waiting.
+func (s *Subscriber) deliver(facts *factwire.Facts, st *subscription) {
+	s.Stats.Received.Add(1)
+	s.mu.Lock()
+	st.heard = true
+	s.mu.Unlock()
+	select {
+	case s.deltas <- facts:
+	default:
+		s.Stats.Missed.Add(1)
+	}
+}
+
+func (s *Subscriber) signal() {
+	select {
+	case s.uncovered <- struct{}{}:
+	default: // already told
+	}
+}
