front, placement: the routing table's time-outs and priorities are in force

Cause: header and idle time-outs and priorities of the routing table were decoded and not used; callers had fixed 10 s and 2 min, and all routes of a service were refused alike. Fields without any use (health path, cold time, connections) are no longer decoded.

Change: front.Conns closes connections that break the limits, without meeting a request that it has just read; a route that shares a service with a more urgent one is refused from 1.5 targets on instead of 2.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -37,11 +37,10 @@
 	"azurebridge/transport/status"
 )
 
-// Times of the callers' servers.
+// Times of the servers.
 const (
 	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep idle connections, so that none is closed while a request is on its way.
-	idleTimeout   = 2 * time.Minute
+	// sweepInterval is the time between looks at idle connections, and bounds how late one that breaks a limit is closed.
 	sweepInterval = 2 * time.Second
 	// memoryShare is the part of the process's memory at which the collector works harder.
 	memoryShare = 0.6
@@ -131,9 +130,9 @@
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics,
 	})
-	p.conns = front.NewConns()
+	p.conns = front.NewConns(p.loop.Now)
 	p.callers = &http.Server{
-		Handler: p.front, ConnState: p.conns.State, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: p.front, ConnState: p.conns.State, MaxHeaderBytes: maxHeader,
 		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	var err error
@@ -277,6 +276,9 @@
 			return
 		case <-ticker.C:
 			p.pool.Sweep()
+			if table := p.loop.View().Table; table != nil {
+				p.conns.Expire(table.Limits)
+			}
 		}
 	}
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -57,6 +57,9 @@
 	// lateFactor is the expected time, in target latencies, from which a request is refused at once: a late answer has
 	// little value and takes the place of one in time.
 	lateFactor = 2
+	// yieldFactor is the same for a route that shares a service with a more urgent one: its requests leave the last
+	// of the room to those.
+	yieldFactor = 1.5
 )
 
 // Choose returns a server for the request, or nil and the reason. It takes the pace of a limited server when it chooses
@@ -92,8 +95,12 @@
 // latest returns the expected time from which a request is refused.
 func (r *Request) latest(work time.Duration) time.Duration {
 	late := r.Left
+	factor := float64(lateFactor)
+	if r.Route.Yields() {
+		factor = yieldFactor
+	}
 	if target := r.Route.TargetLatency; target > 0 {
-		late = min(late, lateFactor*target)
+		late = min(late, time.Duration(factor*float64(target)))
 	}
 	return max(late, time.Duration(queueFactor*float64(work)))
 }
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -174,6 +174,28 @@
 	g.Expect(reason).To(Equal(Overloaded))
 }
 
+// Guards against a service whose urgent requests wait behind less urgent ones when there is too little room.
+func TestLessUrgentRouteIsRefusedFirst(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(2, "north")
+	v.Services["search"].Time.Learn(300*time.Millisecond, 1, 4)
+	for _, server := range v.Services["search"].Servers {
+		fill(server, 10)
+	}
+	parts := []routing.Part{{Service: "search", Weight: 1}}
+	table := &routing.Table{Routes: []routing.Route{
+		{Priority: 0, Parts: parts, TargetLatency: 500 * time.Millisecond},
+		{Priority: 2, Parts: parts, TargetLatency: 500 * time.Millisecond},
+	}}
+	table.Index()
+	for i, want := range []Reason{Chosen, Overloaded} {
+		r := newRequest("7")
+		r.Route = &table.Routes[i]
+		_, reason := Choose(v, r, now)
+		g.Expect(reason).To(Equal(want))
+	}
+}
+
 // Guards against a route without a target latency whose requests are refused although there is time.
 func TestRouteWithoutTargetMayTakeItsTime(t *testing.T) {
 	g := NewWithT(t)
--- a/protocol/factwire/factwire_test.go
+++ b/protocol/factwire/factwire_test.go
@@ -17,7 +17,7 @@
 
 func sample() *Facts {
 	table := &routing.Table{
-		Version: 7, Services: map[state.ServiceName]routing.Service{"search": {HealthPath: "/h", ColdRate: 5.6}},
+		Version: 7, Services: map[state.ServiceName]routing.Service{"search": {ColdRate: 5.6}},
 		Routes: []routing.Route{{
 			Name: "a", Host: "x.example", Prefix: "/a/", Idempotent: true, Timeout: time.Second, MaxAttempts: 2, Affinity: true,
 			Parts: []routing.Part{{Service: "search", Weight: 1}}, Regions: []state.RegionName{"north"},
--- a/state/routing/routing_test.go
+++ b/state/routing/routing_test.go
@@ -72,3 +72,17 @@
 	}
 	NewWithT(t).Expect(newTable().Validate()).To(Succeed())
 }
+
+// Guards against routes that give way to others although they share no service with a more urgent one.
+func TestRouteYieldsToAMoreUrgentOneOfItsService(t *testing.T) {
+	table := &Table{Routes: []Route{
+		{Name: "urgent", Priority: 0, Parts: []Part{{"a", 1}}},
+		{Name: "equal", Priority: 0, Parts: []Part{{"a", 1}}},
+		{Name: "less", Priority: 1, Parts: []Part{{"b", 1}, {"a", 1}}},
+		{Name: "alone", Priority: 2, Parts: []Part{{"c", 1}}},
+	}}
+	table.Index()
+	for i, want := range []bool{false, false, true, false} {
+		NewWithT(t).Expect(table.Routes[i].Yields()).To(Equal(want), table.Routes[i].Name)
+	}
+}
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +37,8 @@
 	Affinity      bool          // whether a backend server is faster for objects that it has handled lately
 	Parts         []Part        // the services that share the requests; never empty
 	Regions       []state.RegionName
+
+	yields bool // a more urgent route uses one of the route's services
 }
 
 // Part is the share of a route's requests that goes to one service.
@@ -46,10 +49,7 @@
 
 // Service is what the backend servers of a service have in common.
 type Service struct {
-	HealthPath     string
-	MaxConnections int           // of one backend server, from all callers
-	ColdStart      time.Duration // how long a backend server is slow after its start
-	ColdRate       float64       // requests/s that a cold backend server bears; 0 means no limit
+	ColdRate float64 // requests/s that a cold backend server bears; 0 means no limit
 }
 
 // Limits bound what a caller may send.
@@ -60,16 +60,30 @@
 	IdleTimeout   time.Duration
 }
 
-// Index prepares Match. Call it once, before the table is shared.
+// Index prepares Match and Yields. Call it once, before the table is shared.
 func (t *Table) Index() {
 	t.byHost = make(map[string][]*Route)
+	urgent := make(map[state.ServiceName]int) // the priority of the service's most urgent route
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		for _, p := range r.Parts {
+			if least, ok := urgent[p.Service]; !ok || r.Priority < least {
+				urgent[p.Service] = r.Priority
+			}
+		}
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		r.yields = slices.ContainsFunc(r.Parts, func(p Part) bool { return urgent[p.Service] < r.Priority })
 	}
 }
 
+// Yields reports whether a more urgent route uses one of the route's services, so that this one is refused first when there
+// is too little room.
+func (r *Route) Yields() bool { return r.yields }
+
 // Match returns the route of a host (without port) whose prefix is the longest that begins the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	var best *Route
@@ -86,12 +100,7 @@
 	if len(r.Regions) == 0 {
 		return true
 	}
-	for _, allowed := range r.Regions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.Regions, region)
 }
 
 // Part returns the part for a draw from 0 (included) to 1 (excluded), in proportion to the weights.
--- a/transport/front/conns.go
+++ b/transport/front/conns.go
@@ -4,24 +4,42 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+
+	"azurebridge/state"
+	"azurebridge/state/routing"
 )
 
-// Conns keeps track of callers' connections, so that a planned stop closes those without a request and no other. The
-// server's own closing of idle connections may meet a request that it has just read, and cut it.
+// Conns keeps track of callers' connections. A planned stop and the limits of the routing table close those without a
+// request and no other: the server's own closing of idle connections may meet a request that it has just read, and cut it.
 type Conns struct {
+	clock func() state.Instant
+	Stats ConnsStats
+
 	mu   sync.Mutex
 	open map[net.Conn]*trackedConn
 }
 
+// ConnsStats counts callers' connections that were closed because of the routing table's limits.
+type ConnsStats struct {
+	Idle        atomic.Uint64 // without a request for too long
+	SlowHeaders atomic.Uint64 // a header took too long
+}
+
 // NewConns returns an empty set.
-func NewConns() *Conns { return &Conns{open: make(map[net.Conn]*trackedConn)} }
+func NewConns(clock func() state.Instant) *Conns {
+	return &Conns{clock: clock, open: make(map[net.Conn]*trackedConn)}
+}
 
 // trackedConn is a caller's connection.
 type trackedConn struct {
 	net.Conn
-	mu     sync.Mutex
-	busy   bool // bytes of a request have been read that has not been answered
-	closed bool // by CloseIdle; what is read afterwards is not passed on
+	clock   func() state.Instant
+	mu      sync.Mutex
+	busy    bool          // bytes of a request have been read that has not been answered
+	handled bool          // the header of that request has been read
+	since   state.Instant // when busy changed last
+	closed  bool          // by this package; what is read afterwards is not passed on
 }
 
 // Read reads from the connection. Bytes that arrive while CloseIdle closes the connection are dropped: their request has
@@ -33,7 +51,9 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.busy = c.busy || n > 0
+	if n > 0 && !c.busy {
+		c.busy, c.since = true, c.clock()
+	}
 	return n, err
 }
 
@@ -42,8 +62,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy {
-		c.closed = true
-		c.Conn.Close()
+		c.close()
+	}
+}
+
+// close closes the connection. c.mu is held on entry.
+func (c *trackedConn) close() {
+	c.closed = true
+	c.Conn.Close()
+}
+
+// expire closes the connection when it breaks the limits, and counts why.
+func (c *trackedConn) expire(now state.Instant, limits routing.Limits, stats *ConnsStats) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := now.Sub(c.since)
+	switch {
+	case c.closed:
+	case !c.busy && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
+		stats.Idle.Add(1)
+		c.close()
+	case c.busy && !c.handled && limits.HeaderTimeout > 0 && age > limits.HeaderTimeout:
+		stats.SlowHeaders.Add(1)
+		c.close()
 	}
 }
 
@@ -60,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trackedConn{Conn: c}
+	t := &trackedConn{Conn: c, clock: l.conns.clock, since: l.conns.clock()}
 	l.conns.mu.Lock()
 	l.conns.open[t] = t
 	l.conns.mu.Unlock()
@@ -68,29 +109,48 @@
 }
 
 // State follows the states of the server's connections; set it as http.Server.ConnState.
-func (s *Conns) State(c net.Conn, state http.ConnState) {
+func (s *Conns) State(c net.Conn, to http.ConnState) {
 	s.mu.Lock()
 	t := s.open[c]
-	if state == http.StateClosed || state == http.StateHijacked {
+	if to == http.StateClosed || to == http.StateHijacked {
 		delete(s.open, c)
 	}
 	s.mu.Unlock()
-	if t != nil && state == http.StateIdle {
-		t.mu.Lock()
-		t.busy = false
-		t.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch to {
+	case http.StateActive:
+		t.handled = true
+	case http.StateIdle:
+		t.busy, t.handled, t.since = false, false, s.clock()
 	}
 }
 
-// CloseIdle closes the connections without a request and returns how many others there are.
-func (s *Conns) CloseIdle() (busy int) {
+// list returns the open connections.
+func (s *Conns) list() []*trackedConn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	list := make([]*trackedConn, 0, len(s.open))
 	for _, t := range s.open {
 		list = append(list, t)
 	}
-	s.mu.Unlock()
-	for _, t := range list {
+	return list
+}
+
+// Expire closes the connections that have been idle, or whose callers have taken for a header, longer than the limits say.
+func (s *Conns) Expire(limits routing.Limits) {
+	now := s.clock()
+	for _, t := range s.list() {
+		t.expire(now, limits, &s.Stats)
+	}
+}
+
+// CloseIdle closes the connections without a request and returns how many others there are.
+func (s *Conns) CloseIdle() (busy int) {
+	for _, t := range s.list() {
 		t.closeIdle()
 		t.mu.Lock()
 		if !t.closed {
--- a/transport/front/conns_test.go
+++ b/transport/front/conns_test.go
@@ -1,64 +1,109 @@
 package front
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"azurebridge/state"
+	"azurebridge/state/routing"
 )
 
-// pair returns a tracked connection and the caller's end of it.
-func pair(t *testing.T, s *Conns) (*trackedConn, net.Conn) {
+// patience is how long a test waits for something that happens within milliseconds.
+const patience = 10 * time.Second
+
+// callers is a server of callers whose clock a test sets.
+type callers struct {
+	*WithT
+	conns   *Conns
+	now     atomic.Int64
+	address string
+}
+
+// newCallers starts a server whose requests wait until release is closed.
+func newCallers(t *testing.T, release <-chan struct{}) *callers {
 	t.Helper()
-	g := NewWithT(t)
+	c := &callers{WithT: NewWithT(t)}
+	c.conns = NewConns(func() state.Instant { return state.Instant(c.now.Load()) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { caller.Close() })
-	c, err := s.Listener(ln).Accept()
-	g.Expect(err).NotTo(HaveOccurred())
-	return c.(*trackedConn), caller
+	c.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{ConnState: c.conns.State, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "served")
+	})}
+	go func() { _ = server.Serve(c.conns.Listener(ln)) }() // ends with the test
+	t.Cleanup(func() { server.Close() })
+	c.address = ln.Addr().String()
+	return c
+}
+
+func (c *callers) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", c.address)
+	c.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// expire lets time pass and closes what breaks the limits.
+func (c *callers) expire(after time.Duration) {
+	c.now.Add(int64(after))
+	c.conns.Expire(routing.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 }
 
-// Guards against a planned stop that closes a connection whose request has just been read, and passes the request on.
-func TestCloseIdleLeavesRequestsAlone(t *testing.T) {
-	g := NewWithT(t)
-	s := NewConns()
-	idle, _ := pair(t, s)
-	busy, caller := pair(t, s)
-	_, err := caller.Write([]byte("GET / HTTP/1.1\r\n"))
-	g.Expect(err).NotTo(HaveOccurred())
-	b := make([]byte, 100)
-	n, err := busy.Read(b)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(n).To(BeNumerically(">", 0))
-	g.Expect(s.CloseIdle()).To(Equal(1))
-	g.Expect(busy.closed).To(BeFalse())
-	g.Expect(idle.closed).To(BeTrue())
-	s.State(busy, http.StateIdle)
-	g.Expect(s.CloseIdle()).To(BeZero())
-	s.State(busy, http.StateClosed)
-	s.State(idle, http.StateClosed)
-	g.Expect(s.open).To(BeEmpty())
+// Guards against callers that hold a connection with a header that never ends, and against a cut of those that are in time.
+func TestSlowHeaderIsClosed(t *testing.T) {
+	c := newCallers(t, nil)
+	conn := c.dial(t)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x")
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Eventually(func() bool {
+		list := c.conns.list()
+		if len(list) == 0 {
+			return false
+		}
+		list[0].mu.Lock()
+		defer list[0].mu.Unlock()
+		return list[0].busy
+	}, patience).Should(BeTrue())
+	c.expire(2 * time.Second)
+	c.Expect(c.conns.Stats.SlowHeaders.Load()).To(BeZero())
+	c.expire(2 * time.Second)
+	c.Expect(c.conns.Stats.SlowHeaders.Load()).To(Equal(uint64(1)))
+	_, err = conn.Read(make([]byte, 1))
+	c.Expect(err).To(HaveOccurred())
 }
 
-// Guards against a request that arrives while its connection is closed and is passed on all the same.
-func TestWhatArrivesWhileClosingIsNotTaken(t *testing.T) {
-	g := NewWithT(t)
-	s := NewConns()
-	c, caller := pair(t, s)
-	_, err := caller.Write([]byte("GET / HTTP/1.1\r\n"))
-	g.Expect(err).NotTo(HaveOccurred())
-	c.mu.Lock()
-	read := make(chan error)
-	go func() {
-		_, err := c.Read(make([]byte, 100))
-		read <- err
-	}()
-	c.closed = true // as CloseIdle does while it holds the lock
-	c.mu.Unlock()
-	g.Expect(<-read).To(MatchError(net.ErrClosed))
+// Guards against idle connections that stay open for ever, and against a cut of a request that takes long.
+func TestIdleConnectionIsClosedAndABusyOneIsNot(t *testing.T) {
+	release := make(chan struct{})
+	c := newCallers(t, release)
+	conn := c.dial(t)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Eventually(func() bool {
+		list := c.conns.list()
+		if len(list) == 0 {
+			return false
+		}
+		list[0].mu.Lock()
+		defer list[0].mu.Unlock()
+		return list[0].handled
+	}, patience).Should(BeTrue())
+	c.expire(time.Minute)
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	c.Eventually(func() bool {
+		c.expire(16 * time.Second)
+		return c.conns.Stats.Idle.Load() == 1
+	}, patience).Should(BeTrue())
+	c.Eventually(c.conns.list, patience).Should(BeEmpty())
 }
