azb-soak: random faults on real processes of azb-front, checked from outside

Six instances run as processes; a seed decides signals, faults of links (loopback proxies), of the store, of backend servers, and operators' changes, which overlap. Checks compare what callers were told with what servers ran.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run bench docs model fuzz prove clean
+.PHONY: build test lint run bench docs model fuzz prove soak clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -36,5 +36,10 @@
 prove:
 	scripts/prove.sh
 
+# soak runs azb-front under random faults with SEEDS fresh seeds, which it prints.
+SEEDS ?= 5
+soak: build
+	bin/azb-soak --seeds $(SEEDS)
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/cmd/azb-soak/main.go
@@ -0,0 +1,90 @@
+// Command azb-soak runs azb-front as separate processes on this machine, injects faults from outside them, and checks what
+// callers and backend servers see. The store and the backend servers are stand-ins in its own process; proxies on the
+// loopback address disturb connections, signals stop, pause and kill processes. A seed decides the faults.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// Exit codes.
+const (
+	exitBroken = 1 // a promise was broken
+	exitUsage  = 2 // wrong arguments, or the deployment did not start
+)
+
+var cli struct {
+	Front  string        `help:"Binary of azb-front." default:"bin/azb-front" type:"path"`
+	Seed   uint64        `help:"First seed; 0 takes one from the clock."`
+	Seeds  int           `help:"Number of seeds, one after the other." default:"1"`
+	Length time.Duration `help:"Time of each seed, with 15 s at its ends for the fleet to be up and to recover." default:"30s"`
+	Dir    string        `help:"Directory for settings and logs; those of a seed that broke a promise are kept." default:"out/soak" type:"path"`
+	Counts bool          `help:"Check only what does not depend on time."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Runs azb-front under faults and checks its promises. Exits 0 only if none was broken."))
+	seed := cli.Seed
+	if seed == 0 {
+		const span = 1 << 40
+		seed = uint64(time.Now().UnixNano()) % span
+	}
+	broken := 0
+	for n := range uint64(max(0, cli.Seeds)) {
+		list, err := soak(seed+n, cli.Length, cli.Front, cli.Dir, !cli.Counts)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitUsage)
+		}
+		if len(list) > 0 {
+			broken++
+		}
+	}
+	fmt.Printf("%d of %d seeds broke a promise\n", broken, cli.Seeds)
+	if broken > 0 {
+		os.Exit(exitBroken)
+	}
+}
+
+// soak plays one seed, prints a line for it, and returns the promises that were broken.
+func soak(seed uint64, length time.Duration, binary, dir string, timed bool) ([]string, error) {
+	if err := os.RemoveAll(dir); err != nil {
+		return nil, errors.Wrap(err, "clear directory")
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "make directory")
+	}
+	w, err := newWorld(binary, dir)
+	defer w.close()
+	if err != nil {
+		return nil, err
+	}
+	steps := newPlan(seed, length)
+	w.play(seed, length, steps)
+	broken := w.check(timed)
+	served := 0
+	for _, c := range w.callers.calls {
+		if c.ok() {
+			served++
+		}
+	}
+	fmt.Printf("seed %d: %d steps, %d calls, %d served, %d stalls of the soak, %d broken\n",
+		seed, len(steps), len(w.callers.calls), served, len(w.stalls), len(broken))
+	if len(broken) == 0 {
+		return nil, nil
+	}
+	const most = 10
+	for _, line := range broken[:min(most, len(broken))] {
+		fmt.Println("  " + line)
+	}
+	for _, s := range steps {
+		fmt.Printf("  step at %v for %v: %s, target %d, variant %d\n", s.At, s.For, s.Fault, s.Target, s.How)
+	}
+	fmt.Println("  logs: " + keepLogs(dir, seed))
+	return broken, nil
+}
--- /dev/null
+++ b/cmd/azb-soak/proxy.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// linkMode is how a proxy treats what it carries.
+type linkMode int
+
+// Modes of a link.
+const (
+	pass       linkMode = iota
+	slow                // each piece is delayed
+	broken              // connections are reset, new ones too
+	silent              // nothing arrives, in both directions
+	silentTo            // nothing arrives at the target
+	silentFrom          // nothing arrives from the target
+	linkModes
+)
+
+const (
+	linkDelay = 60 * time.Millisecond
+	chunk     = 32 << 10 // bytes
+)
+
+// proxy carries TCP connections to a target and disturbs them.
+type proxy struct {
+	ln net.Listener
+
+	mu      sync.Mutex
+	target  string
+	mode    linkMode
+	changed chan struct{} // closed when the mode changes
+	conns   map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a proxy")
+	}
+	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.ln.Addr().String() }
+
+// set changes the mode. Broken resets the open connections.
+func (p *proxy) set(mode linkMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if mode == broken {
+		p.resetAll()
+	}
+}
+
+// retarget carries new connections to another target and resets the open ones.
+func (p *proxy) retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.resetAll()
+}
+
+// resetAll resets the open connections. p.mu is held on entry.
+func (p *proxy) resetAll() {
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // best effort: the connection may have ended
+		}
+		c.Close()
+	}
+	clear(p.conns)
+}
+
+func (p *proxy) close() {
+	p.ln.Close()
+	p.set(broken)
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(c)
+	}
+}
+
+func (p *proxy) carry(c net.Conn) {
+	p.mu.Lock()
+	target, mode := p.target, p.mode
+	p.mu.Unlock()
+	if mode == broken {
+		c.Close()
+		return
+	}
+	to, err := net.Dial("tcp", target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[to] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(to, c, silentTo) })
+	both.Go(func() { p.copy(c, to, silentFrom) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, to)
+	p.mu.Unlock()
+	c.Close()
+	to.Close()
+}
+
+// copy carries one direction until it ends, and passes the end on. oneWay is the mode that silences this direction only.
+func (p *proxy) copy(to, from net.Conn, oneWay linkMode) {
+	buffer := make([]byte, chunk)
+	for {
+		n, err := from.Read(buffer)
+		p.hold(oneWay)
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				from.Close()
+				return
+			}
+		}
+		if err != nil {
+			if t, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+				_ = t.CloseWrite() // the other direction goes on
+			} else {
+				to.Close()
+			}
+			return
+		}
+	}
+}
+
+// hold waits while the direction is silenced, and delays on a slow link.
+func (p *proxy) hold(oneWay linkMode) {
+	for {
+		p.mu.Lock()
+		mode, changed := p.mode, p.changed
+		p.mu.Unlock()
+		switch mode {
+		case silent, oneWay:
+			<-changed
+			continue
+		case slow:
+			time.Sleep(linkDelay)
+		}
+		return
+	}
+}
