model: relays of the store's changes, with three broken variants

The specifications did not cover azb-front. relay.pml has two readers that may be cut from the store unnoticed, streams that end at any time, and an instance that listens or watches. Ignoring a gap, keeping the stream of a reader without the store, and not repeating the revision each violate a property.

--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -45,4 +45,8 @@
 check holds rollout
 check fails rollout TAKE_ANY
 check fails rollout PUSH_EARLY
+check holds relay
+check fails relay IGNORE_GAP
+check fails relay KEEP_TRUST
+check fails relay NO_REPEAT
 exit "$failed"
