--- a/cmd/azb-soak/check.go
+++ b/cmd/azb-soak/check.go
@@ -74,7 +74,7 @@
 		if !timed {
 			continue
 		}
-		if took := c.End.Sub(c.Start); took > routeTimeout+answerSlack && c.Instance.calm(c.Start, c.End) && w.calm(c.Start, c.End) {
+		if took := c.End.Sub(c.Start); took > routeTimeout+answerSlack && c.Instance.trouble.calm(c.Start, c.End, "") && w.calm(c.Start, c.End) {
 			add("%s at %s took %v", c.ID, c.Instance.name, took)
 		}
 		for _, r := range list {
@@ -109,28 +109,18 @@
 
 // cutByPlannedStop reports whether the only thing that disturbed a call which has run was a planned stop of its instance.
 func (w *world) cutByPlannedStop(c *call, list []ran) bool {
-	stopped := false
-	c.Instance.mu.Lock()
-	var others []span
-	for _, s := range c.Instance.trouble {
-		if s.What != stopInstance {
-			others = append(others, s)
-		} else if s.Start.Before(c.End) && (s.End.IsZero() || s.End.After(c.Start)) {
-			stopped = true
-		}
-	}
-	c.Instance.mu.Unlock()
 	for _, r := range list {
-		if !quiet(r.server.spans(), c.Start, c.End) {
+		if !r.server.trouble.calm(c.Start, c.End, "") {
 			return false
 		}
 	}
-	return stopped && quiet(others, c.Start, c.End) && w.calm(c.Start, c.End)
+	stopped := c.Instance.trouble.met(c.Start, c.End, func(f fault) bool { return f == stopInstance })
+	return stopped && c.Instance.trouble.calm(c.Start, c.End, stopInstance) && w.calm(c.Start, c.End)
 }
 
 // reachedAfter returns the departure that a run breaks, or nil.
 func (w *world) reachedAfter(c *call, r ran) *departure {
-	if !c.Instance.calm(r.At, r.At) || !w.calm(r.At, r.At) || !quiet(r.server.spans(), r.At, r.At) {
+	if !c.Instance.trouble.calm(r.At, r.At, "") || !w.calm(r.At, r.At) || !r.server.trouble.calm(r.At, r.At, "") {
 		return nil
 	}
 	w.mu.Lock()
@@ -156,7 +146,7 @@
 			}
 		}
 	}
-	if float64(served) < leastServed*float64(total) && quiet(w.stalls, from, w.end) {
+	if float64(served) < leastServed*float64(total) && w.stalls.calm(from, w.end, "") {
 		return []string{fmt.Sprintf("%d of %d calls were served after the faults", served, total)}
 	}
 	return nil
--- a/cmd/azb-soak/fleet.go
+++ b/cmd/azb-soak/fleet.go
@@ -33,18 +33,13 @@
 	ready   string
 	metrics string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd // nil while no process runs
-	paused  bool
-	ending  bool // the process has been told to end
-	trouble []span
-	faults  []string // processes that ended by themselves
-}
+	trouble trouble
 
-// span is a time in which a part was disturbed. End is zero while it lasts.
-type span struct {
-	Start, End time.Time
-	What       fault
+	mu     sync.Mutex
+	cmd    *exec.Cmd // nil while no process runs
+	paused bool
+	ending bool     // the process has been told to end
+	faults []string // processes that ended by themselves
 }
 
 // newInstance writes the settings of an instance. Nothing runs before start.
@@ -169,32 +164,3 @@
 	}
 	return false
 }
-
-// disturb notes that the instance is not in touch from now on, and returns what ends that.
-func (i *instance) disturb(what fault) (end func()) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	n := len(i.trouble)
-	i.trouble = append(i.trouble, span{Start: time.Now(), What: what})
-	return func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.trouble[n].End = time.Now()
-	}
-}
-
-// calm reports whether nothing has disturbed the instance from the stability window before a time until another.
-func (i *instance) calm(from, to time.Time) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return quiet(i.trouble, from, to)
-}
-
-func quiet(trouble []span, from, to time.Time) bool {
-	for _, s := range trouble {
-		if s.Start.Before(to) && (s.End.IsZero() || s.End.After(from.Add(-stability))) {
-			return false
-		}
-	}
-	return true
-}
--- a/cmd/azb-soak/main.go
+++ b/cmd/azb-soak/main.go
@@ -74,7 +74,7 @@
 		}
 	}
 	fmt.Printf("seed %d: %d steps, %d calls, %d served, %d stalls of the soak, %d broken\n",
-		seed, len(steps), len(w.callers.calls), served, len(w.stalls), len(broken))
+		seed, len(steps), len(w.callers.calls), served, len(w.stalls.spans), len(broken))
 	if len(broken) == 0 {
 		return nil, nil
 	}
--- a/cmd/azb-soak/plan.go
+++ b/cmd/azb-soak/plan.go
@@ -26,6 +26,8 @@
 	replaceServer  fault = "replace server" // another one takes its address
 	evacuate       fault = "evacuate"
 	changeTable    fault = "change table"
+
+	soakHeldUp fault = "soak held up" // not a step: what the soak sees of time is worth nothing
 )
 
 // Times of a plan.
--- a/cmd/azb-soak/soak_test.go
+++ b/cmd/azb-soak/soak_test.go
@@ -160,10 +160,10 @@
 		{"unsigned", 1, call{Status: 200, Body: good("id")}, nil, "success with body"},
 		{"signed failure", 1, call{Status: 502, Signature: "sig-server-1"}, nil, "never answers so"},
 		{"late", 0, call{Status: 504, End: now.Add(3 * time.Second)}, nil, "took 3s"},
-		{"late while paused", 0, call{Status: 504, End: now.Add(3 * time.Second)}, func(_ *world, i *instance) { i.disturb(pauseInstance) }, ""},
-		{"cut by a kill", 1, call{Err: io.EOF}, func(_ *world, i *instance) { i.disturb(killInstance) }, ""},
-		{"cut by a stop", 1, call{Err: io.EOF}, func(_ *world, i *instance) { i.trouble = []span{{Start: now.Add(-time.Second), What: stopInstance}} }, "planned stop"},
-		{"not taken at a stop", 0, call{Err: io.EOF}, func(_ *world, i *instance) { i.disturb(stopInstance) }, ""},
+		{"late while paused", 0, call{Status: 504, End: now.Add(3 * time.Second)}, func(_ *world, i *instance) { i.trouble.begin(pauseInstance) }, ""},
+		{"cut by a kill", 1, call{Err: io.EOF}, func(_ *world, i *instance) { i.trouble.begin(killInstance) }, ""},
+		{"cut by a stop", 1, call{Err: io.EOF}, func(_ *world, i *instance) { i.trouble.add(span{Start: now.Add(-time.Second), What: stopInstance}) }, "planned stop"},
+		{"not taken at a stop", 0, call{Err: io.EOF}, func(_ *world, i *instance) { i.trouble.begin(stopInstance) }, ""},
 		{"drained", 1, call{Status: 200, Body: good("id"), Signature: "sig-server-1"}, func(w *world, _ *instance) {
 			w.departures = []*departure{{Server: "server-1", At: now.Add(-3 * time.Second), Bound: drainBound}}
 		}, "after its departure"},
@@ -172,7 +172,7 @@
 		}, ""},
 		{"evacuated, store away", 1, call{Status: 200, Body: good("id"), Signature: "sig-server-1"}, func(w *world, _ *instance) {
 			w.departures = []*departure{{At: now.Add(-9 * time.Second), Bound: evacuateTime}}
-			w.trouble = []span{{Start: now.Add(-time.Second), What: storeFails}}
+			w.trouble.add(span{Start: now.Add(-time.Second), What: storeFails})
 		}, ""},
 		{"evacuated", 1, call{Status: 200, Body: good("id"), Signature: "sig-server-1"}, func(w *world, _ *instance) {
 			w.departures = []*departure{{At: now.Add(-9 * time.Second), Bound: evacuateTime}}
--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -22,25 +22,25 @@
 	case killInstance, pauseInstance, stopInstance, reloadInstance:
 		w.signalInstance(i, s)
 	case storeLink:
-		defer i.disturb(s.Fault)()
+		defer i.trouble.begin(s.Fault)()
 		w.forTime(i.name, s.For, func() { i.link.set(pass + 1 + linkMode(s.How)%(linkModes-1)) }, func() { i.link.set(pass) })
 	case serverLink:
-		defer b.disturb()()
+		defer b.trouble.begin(s.Fault)()
 		w.forTime(b.link.address(), s.For, func() { b.link.set(pass + 1 + linkMode(s.How)%(linkModes-1)) }, func() { b.link.set(pass) })
 	case storeFails:
-		defer w.disturbStore(s.Fault)()
+		defer w.trouble.begin(s.Fault)()
 		w.forTime("store", s.For, func() { w.store.SetFault(storeFaults[s.How%len(storeFaults)]) }, func() { w.store.SetFault(standin.Sound) })
 	case storeDeaf:
-		defer w.disturbStore(s.Fault)()
+		defer w.trouble.begin(s.Fault)()
 		w.forTime("watches", s.For, func() { w.store.SetDeaf(true) }, func() { w.store.SetDeaf(false) })
 	case storeCompacts:
-		defer w.disturbStore(s.Fault)()
+		defer w.trouble.begin(s.Fault)()
 		w.store.Compact()
 	case storeLapses:
-		defer w.disturbStore(s.Fault)()
+		defer w.trouble.begin(s.Fault)()
 		w.store.Lapse()
 	case serverFails:
-		defer b.disturb()()
+		defer b.trouble.begin(s.Fault)()
 		server := b.current()
 		w.forTime(server.ID, s.For, func() { server.Set(serverFaults[s.How%len(serverFaults)]) }, func() { server.Set(standin.Serve) })
 	case drainServer:
@@ -78,11 +78,11 @@
 		if !i.signal(syscall.SIGSTOP) {
 			return
 		}
-		defer i.disturb(s.Fault)()
+		defer i.trouble.begin(s.Fault)()
 		time.Sleep(s.For)
 		i.signal(syscall.SIGCONT)
 	case killInstance, stopInstance:
-		end := i.disturb(s.Fault)
+		end := i.trouble.begin(s.Fault)
 		defer func() { end() }()
 		sig := syscall.SIGKILL
 		if s.Fault == stopInstance {
@@ -132,7 +132,7 @@
 		w.fail("%v", err)
 		return
 	}
-	defer b.disturb()()
+	defer b.trouble.begin(replaceServer)()
 	w.store.RemoveServer(b.current().ID)
 	b.mu.Lock()
 	b.all, b.since = append(b.all, next), append(b.since, time.Now())
@@ -169,28 +169,3 @@
 		d.Until = time.Now()
 	}
 }
-
-// disturb notes that the server's answers and times are not its usual ones, and returns what ends that.
-func (b *backend) disturb() (end func()) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := len(b.trouble)
-	b.trouble = append(b.trouble, span{Start: time.Now()})
-	return func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.trouble[n].End = time.Now()
-	}
-}
-
-func (w *world) disturbStore(what fault) (end func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := len(w.trouble)
-	w.trouble = append(w.trouble, span{Start: time.Now(), What: what})
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.trouble[n].End = time.Now()
-	}
-}
--- a/cmd/azb-soak/world.go
+++ b/cmd/azb-soak/world.go
@@ -35,9 +35,10 @@
 	callers   *callers
 	end       time.Time // of the load
 
+	trouble trouble // of the store
+	stalls  trouble // of the soak itself
+
 	mu         sync.Mutex
-	trouble    []span // of the store
-	stalls     []span // of the soak itself
 	departures []*departure
 	tables     []time.Time // when version n+1 was acknowledged
 	evacuating map[int]int // evacuations under way, by failure domain
@@ -51,10 +52,11 @@
 	domain int
 	link   *proxy
 
-	mu      sync.Mutex
-	all     []*standin.Server // the last one is there now
-	since   []time.Time
-	trouble []span
+	trouble trouble
+
+	mu    sync.Mutex
+	all   []*standin.Server // the last one is there now
+	since []time.Time
 }
 
 func (b *backend) current() *standin.Server {
@@ -76,12 +78,6 @@
 	return id
 }
 
-func (b *backend) spans() []span {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]span(nil), b.trouble...)
-}
-
 // newWorld starts a deployment and waits until every instance takes callers.
 func newWorld(binary, dir string) (*world, error) {
 	w := &world{store: standin.NewStore(), evacuating: make(map[int]int), turns: make(map[string]int)}
@@ -195,9 +191,7 @@
 
 // calm reports whether neither the store nor the soak was disturbed.
 func (w *world) calm(from, to time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return quiet(w.trouble, from, to) && quiet(w.stalls, from, to)
+	return w.trouble.calm(from, to, "") && w.stalls.calm(from, to, "")
 }
 
 // watchStalls notes when this process was held up.
@@ -207,9 +201,7 @@
 		time.Sleep(tick)
 		now := time.Now()
 		if now.Sub(last) > stallTime {
-			w.mu.Lock()
-			w.stalls = append(w.stalls, span{Start: last, End: now})
-			w.mu.Unlock()
+			w.stalls.add(span{Start: last, End: now, What: soakHeldUp})
 		}
 		last = now
 	}
@@ -234,7 +226,7 @@
 		if pid != process {
 			process, last = pid, 0
 		}
-		calm := i.calm(asked, time.Now()) && w.calm(asked, time.Now())
+		calm := i.trouble.calm(asked, time.Now(), "") && w.calm(asked, time.Now())
 		w.mu.Lock()
 		due := 0
 		for n, at := range w.tables {
--- a/transport/front/conns_test.go
+++ b/transport/front/conns_test.go
@@ -51,6 +51,19 @@
 	return conn
 }
 
+// await waits until the only connection is in a state.
+func (c *callers) await(state func(*trackedConn) bool) {
+	c.Eventually(func() bool {
+		list := c.conns.list()
+		if len(list) == 0 {
+			return false
+		}
+		list[0].mu.Lock()
+		defer list[0].mu.Unlock()
+		return state(list[0])
+	}, patience).Should(BeTrue())
+}
+
 // expire lets time pass and closes what breaks the limits.
 func (c *callers) expire(after time.Duration) {
 	c.now.Add(int64(after))
@@ -63,15 +76,7 @@
 	conn := c.dial(t)
 	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x")
 	c.Expect(err).NotTo(HaveOccurred())
-	c.Eventually(func() bool {
-		list := c.conns.list()
-		if len(list) == 0 {
-			return false
-		}
-		list[0].mu.Lock()
-		defer list[0].mu.Unlock()
-		return list[0].busy
-	}, patience).Should(BeTrue())
+	c.await(func(t *trackedConn) bool { return t.busy })
 	c.expire(2 * time.Second)
 	c.Expect(c.conns.Stats.SlowHeaders.Load()).To(BeZero())
 	c.expire(2 * time.Second)
@@ -87,15 +92,7 @@
 	conn := c.dial(t)
 	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	c.Expect(err).NotTo(HaveOccurred())
-	c.Eventually(func() bool {
-		list := c.conns.list()
-		if len(list) == 0 {
-			return false
-		}
-		list[0].mu.Lock()
-		defer list[0].mu.Unlock()
-		return list[0].handled
-	}, patience).Should(BeTrue())
+	c.await(func(t *trackedConn) bool { return t.handled })
 	c.expire(time.Minute)
 	close(release)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
