--- a/transport/front/conns_test.go
+++ b/transport/front/conns_test.go
@@ -104,3 +104,35 @@
 	}, patience).Should(BeTrue())
 	c.Eventually(c.conns.list, patience).Should(BeEmpty())
 }
+
+// Guards against a planned stop that cuts a request in progress.
+func TestPlannedStopLeavesBusyConnections(t *testing.T) {
+	release := make(chan struct{})
+	c := newCallers(t, release)
+	conn := c.dial(t)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.Expect(err).NotTo(HaveOccurred())
+	c.await(func(t *trackedConn) bool { return t.handled })
+	c.Expect(c.conns.CloseIdle()).To(Equal(1))
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	c.Eventually(c.conns.CloseIdle, patience).Should(BeZero())
+}
+
+// late is a connection whose read returns bytes although it has been closed meanwhile.
+type late struct{ net.Conn }
+
+func (late) Read(b []byte) (int, error) { return copy(b, "GET / HTTP/1.1\r\n"), nil }
+func (late) Close() error               { return nil }
+
+// Guards against a request that is taken while its idle connection is closed, and then has no way to be answered.
+func TestBytesThatMeetTheCloseAreNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	c := &trackedConn{Conn: late{}, clock: func() state.Instant { return 0 }}
+	c.closeIdle()
+	n, err := c.Read(make([]byte, 100))
+	g.Expect(err).To(MatchError(net.ErrClosed))
+	g.Expect(n).To(BeZero())
+}
