placement, front: servers that do not answer in time are passed over

Change: time-outs count as failures; a server at which a request of this instance has waited for four expected times is chosen only when all are in that state. Both tests fail without it.

--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurebridge/platform/standin"
+	"azurebridge/state/routing"
 )
 
 // Guards against a request or an answer that is changed on its way.
@@ -133,6 +134,19 @@
 	f.Expect(f.program.store.Stats.Unreadable.Load()).To(BeNumerically(">=", 3))
 }
 
+// Guards against a server that never answers in time and goes on to get requests.
+func TestServerThatNeverAnswersInTimeIsEjected(t *testing.T) {
+	f := newFixture(t, 1)
+	f.putTable(2, 200)
+	f.Eventually(func() routing.Version { return f.program.loop.View().Table.Version }, patience).Should(Equal(routing.Version(2)))
+	f.servers[0].Set(standin.Hold)
+	f.Eventually(func() bool {
+		f.Expect(f.write().status).To(Equal(http.StatusGatewayTimeout))
+		return f.program.loop.View().Services["svc"].Servers[0].EjectedUntil > 0
+	}, patience).Should(BeTrue())
+	f.servers[0].Release()
+}
+
 // Guards against an instance that stops serving, or goes back to an older table, when the store does not answer, and that
 // does not catch up afterwards.
 func TestStoreOutages(t *testing.T) {
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,25 +15,41 @@
 
 // Gauge holds what traffic goroutines know of a backend server's load. It is safe for concurrent use.
 type Gauge struct {
-	Pace    quota.Pacer
-	running atomic.Int32 // requests of this instance at the server
+	Pace quota.Pacer
 
 	mu    sync.Mutex
-	load  int           // requests that the server ran or queued at the last report
-	at    state.Instant // of the last report; 0 before the first
-	since int           // requests that this instance has sent since
+	begun []state.Instant // of the requests of this instance at the server, in order
+	load  int             // requests that the server ran or queued at the last report
+	at    state.Instant   // of the last report; 0 before the first
+	since int             // requests that this instance has sent since
 }
 
 // Begin counts a request that is sent to the server.
-func (g *Gauge) Begin() {
-	g.running.Add(1)
+func (g *Gauge) Begin(now state.Instant) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = append(g.begun, now)
 	g.since++
-	g.mu.Unlock()
 }
 
-// End counts a request that has ended.
-func (g *Gauge) End() { g.running.Add(-1) }
+// End counts the end of a request that began at the given time.
+func (g *Gauge) End(begun state.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := slices.Index(g.begun, begun); i >= 0 {
+		g.begun = slices.Delete(g.begun, i, i+1)
+	}
+}
+
+// Longest returns how long the oldest request of this instance at the server has been there.
+func (g *Gauge) Longest(now state.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.begun) == 0 {
+		return 0
+	}
+	return now.Sub(g.begun[0])
+}
 
 // Report records the load that the server told with an answer.
 func (g *Gauge) Report(at state.Instant, load int) {
@@ -44,9 +61,9 @@
 // Load estimates the requests at the server: what it reported and what this instance has sent since, or the requests of
 // this instance that run, whichever is more. A report counts less with its age.
 func (g *Gauge) Load(now state.Instant) float64 {
-	own := float64(g.running.Load())
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	own := float64(len(g.begun))
 	if g.at == 0 {
 		return own
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -57,6 +57,9 @@
 	// lateFactor is the expected time, in target latencies, from which a request is refused at once: a late answer has
 	// little value and takes the place of one in time.
 	lateFactor = 2
+	// stallFactor is the time without an answer, in expected times, from which a server is passed over. The first request for
+	// an object may take three times the mean.
+	stallFactor = 4
 	// yieldFactor is the same for a route that shares a service with a more urgent one: its requests leave the last
 	// of the room to those.
 	yieldFactor = 1.5
@@ -69,7 +72,7 @@
 	if s == nil {
 		return nil, NoServers
 	}
-	usable, reason := candidates(s.Servers, r, now)
+	usable, reason := candidates(s, r, now)
 	if len(usable) == 0 {
 		return nil, reason
 	}
@@ -118,11 +121,20 @@
 	far    bool    // in another region
 }
 
-// candidates returns the servers that the request may be sent to. Ejected servers are among them only when all are.
-func candidates(servers []*catalog.Server, r *Request, now state.Instant) ([]candidate, Reason) {
+// stalled reports whether a request has waited at the server for much longer than expected. The server's load is then not
+// known, because it tells it with answers only.
+func stalled(s *catalog.Server, work time.Duration, now state.Instant) bool {
+	use := max(1, s.Gauge.Load(now)/float64(max(1, s.Slots)))
+	return work > 0 && s.Gauge.Longest(now) > time.Duration(stallFactor*use*float64(work))
+}
+
+// candidates returns the servers that the request may be sent to. Ejected and stalled servers are among them only when all
+// are.
+func candidates(service *catalog.Service, r *Request, now state.Instant) ([]candidate, Reason) {
 	var usable, ejected []candidate
 	reason := NoServers
-	for _, s := range servers {
+	work := service.Time.Estimate()
+	for _, s := range service.Servers {
 		if !r.Route.ServedIn(s.Region) {
 			continue
 		}
@@ -135,7 +147,7 @@
 			continue
 		}
 		c := candidate{server: s, far: s.Region != r.Region}
-		if now.Before(s.EjectedUntil) {
+		if now.Before(s.EjectedUntil) || stalled(s, work, now) {
 			ejected = append(ejected, c)
 			continue
 		}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -219,4 +219,25 @@
 	g.Expect(reason).To(Equal(Chosen))
 }
 
+// Guards against requests that follow each other to a server which no longer answers, and whose load nobody knows for that
+// reason.
+func TestStalledServerIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(2, "north")
+	v.Services["search"].Time.Learn(300*time.Millisecond, 1, 4)
+	first, _ := Choose(v, newRequest("7"), now)
+	first.Gauge.Begin(now)
+	soon, late := now.Add(time.Second), now.Add(1300*time.Millisecond)
+	s, _ := Choose(v, newRequest("7"), soon)
+	g.Expect(s).To(BeIdenticalTo(first), "three times the mean is within what a first request takes")
+	s, _ = Choose(v, newRequest("7"), late)
+	g.Expect(s).NotTo(BeIdenticalTo(first))
+	s.Gauge.Begin(now)
+	s, _ = Choose(v, newRequest("7"), late)
+	g.Expect(s).To(BeIdenticalTo(first), "all are stalled")
+	first.Gauge.End(now)
+	s, _ = Choose(v, newRequest("7"), late)
+	g.Expect(s).To(BeIdenticalTo(first))
+}
+
 func TestMain(m *testing.M) { proptest.Main(m, 300, 30) }
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -128,9 +128,9 @@
 // exchange sends the request to a server and reports the outcome to the control goroutine.
 func (q *request) exchange(ctx context.Context, server *catalog.Server) (reply, error) {
 	m := q.m
-	server.Gauge.Begin()
-	defer server.Gauge.End()
 	start := m.opts.Loop.Now()
+	server.Gauge.Begin(start)
+	defer server.Gauge.End(start)
 	idle := safeIdle
 	if q.route.Idempotent {
 		idle = anyIdle
@@ -191,9 +191,9 @@
 		q.ran = true
 	}
 	q.last = outcome.String()
-	if ctx.Err() == nil {
+	if q.r.Context().Err() == nil { // an answer that is not there in time is the server's failure, too
 		q.m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
-		if !f.Dialed {
+		if !f.Dialed && ctx.Err() == nil {
 			q.m.opts.Pool.Drop(server.Name, server.Address)
 		}
 	}
