--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -105,26 +105,7 @@
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
 		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(),
 	}
-	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
-	p.contact = metastore.NewContact(p.loop.Now)
-	p.readers = peers.NewSubscriber(peers.SubscriberOptions{
-		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Log: p.log.Named("peers"),
-	})
-	p.follower = metastore.NewFollower(metastore.FollowerOptions{
-		Store: p.store, To: p.loop, Log: p.log.Named("store"), Contact: p.contact,
-		Wait: func() time.Duration {
-			return gossip.WatchWait(gossip.Watchers(p.loop.View(), cfg.Name, cfg.Region), rand.Float64())
-		},
-		Tell:   func(revision uint64) { p.peers.Tell(revision) },
-		Ask:    p.askPeers,
-		Relays: p.readers, Publish: func(facts *factwire.Facts) { p.relay.Publish(facts) },
-	})
-	p.relay = peers.NewRelay(peers.RelayOptions{
-		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Revision: p.follower.Revision, Log: p.log.Named("peers"),
-		InTouch: func() bool { return p.contact.Within(gossip.ContactAge) },
-	})
-	p.asker = peers.NewAsker(p.loop, cfg.Peers.String(), cfg.Seeds)
-	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
+	p.wireStore(self)
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
@@ -147,6 +128,32 @@
 	return p, nil
 }
 
+// wireStore wires what keeps the instance in step with the store: the calls to it, the relays between instances, and the
+// instance's own entry.
+func (p *program) wireStore(self routing.Peer) {
+	cfg := p.cfg
+	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
+	p.contact = metastore.NewContact(p.loop.Now)
+	p.readers = peers.NewSubscriber(peers.SubscriberOptions{
+		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Log: p.log.Named("peers"),
+	})
+	p.follower = metastore.NewFollower(metastore.FollowerOptions{
+		Store: p.store, To: p.loop, Log: p.log.Named("store"), Contact: p.contact,
+		Wait: func() time.Duration {
+			return gossip.WatchWait(gossip.Watchers(p.loop.View(), cfg.Name, cfg.Region), rand.Float64())
+		},
+		Tell:   func(revision uint64) { p.peers.Tell(revision) },
+		Ask:    p.askPeers,
+		Relays: p.readers, Publish: func(facts *factwire.Facts) { p.relay.Publish(facts) },
+	})
+	p.relay = peers.NewRelay(peers.RelayOptions{
+		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Revision: p.follower.Revision, Log: p.log.Named("peers"),
+		InTouch: func() bool { return p.contact.Within(gossip.ContactAge) },
+	})
+	p.asker = peers.NewAsker(p.loop, cfg.Peers.String(), cfg.Seeds)
+	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
+}
+
 // serve runs the program until a signal.
 func (p *program) serve() error {
 	ctx, cancel := context.WithCancel(context.Background())
