--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,5 +9,6 @@
     echo "known red, not run: $package $name"
     skip+="${skip:+|}^$name\$"
   done < <(grep -E '^test: [^ ]+ Test' KNOWN-RED.txt || true)
+  grep -E '^bench: ' KNOWN-RED.txt | sed 's/^/known red, not part of CI: /' || true
 fi
 go test -race -count=1 ${skip:+-skip "$skip"} ./...
