wait: one sleep and one interval loop instead of copies

transport/edge had the same sleep as wait.For, and five goroutines spelled out the same ticker loop. wait.Each holds it now. Behaviour is unchanged.

--- a/cmd/azb-front/reload.go
+++ b/cmd/azb-front/reload.go
@@ -7,6 +7,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/settings"
 )
 
@@ -15,20 +16,13 @@
 
 // watchSettings reads the settings again when the file changes, until ctx ends.
 func (p *program) watchSettings(ctx context.Context) {
-	ticker := time.NewTicker(reloadCheck)
-	defer ticker.Stop()
 	last := modified(p.path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if at := modified(p.path); at != last {
-				last = at
-				p.reload(ctx)
-			}
+	wait.Each(ctx, reloadCheck, func() {
+		if at := modified(p.path); at != last {
+			last = at
+			p.reload(ctx)
 		}
-	}
+	})
 }
 
 // modified returns when a file was last changed, or the zero time when it cannot be read; reload tells why.
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -23,6 +23,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/internal/wait"
 	"azurebridge/platform"
 	"azurebridge/protocol/factwire"
 	"azurebridge/protocol/settings"
@@ -264,10 +265,8 @@
 func (p *program) registerWhenReady(ctx context.Context) {
 	const check = 50 * time.Millisecond
 	for !p.ready() {
-		select {
-		case <-ctx.Done():
+		if !wait.For(ctx, check) {
 			return
-		case <-time.After(check):
 		}
 	}
 	go metastore.EnsureFleetKey(ctx, p.store, func() bool { return p.loop.View().FleetKey != nil }, p.log.Named("store"))
@@ -275,17 +274,10 @@
 }
 
 func (p *program) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.pool.Sweep()
-			if table := p.loop.View().Table; table != nil {
-				p.conns.Expire(table.Limits)
-			}
+	wait.Each(ctx, sweepInterval, func() {
+		p.pool.Sweep()
+		if table := p.loop.View().Table; table != nil {
+			p.conns.Expire(table.Limits)
 		}
-	}
+	})
 }
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait lets a goroutine sleep until a time has passed or its work is cancelled.
+// Package wait lets a goroutine sleep until a time has passed or its work is cancelled, once or again and again.
 package wait
 
 import (
@@ -20,3 +20,17 @@
 		return false
 	}
 }
+
+// Each calls work at regular intervals until ctx ends.
+func Each(ctx context.Context, interval time.Duration, work func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			work()
+		}
+	}
+}
--- a/transport/edge/pace.go
+++ b/transport/edge/pace.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"azurebridge/internal/wait"
 	"azurebridge/state"
 )
 
@@ -58,6 +59,6 @@
 		return
 	}
 	if d := p.delay(time.Now(), n); d > 0 {
-		pause(ctx, d)
+		wait.For(ctx, d)
 	}
 }
--- a/transport/edge/resume.go
+++ b/transport/edge/resume.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/message"
+	"azurebridge/internal/wait"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
 )
@@ -209,7 +209,7 @@
 			x.use(at)
 			return true
 		}
-		if errors.Is(err, errChanged) || !pause(x.rq.http.Context(), ResumePause) || x.rq.ended() {
+		if errors.Is(err, errChanged) || !wait.For(x.rq.http.Context(), ResumePause) || x.rq.ended() {
 			return false
 		}
 	}
@@ -253,15 +253,3 @@
 	x.at, x.drained, x.revision, x.snapshot = at, false, 0, nil
 	x.pacer.rate = paceRate(x.rq.service, x.rq.snapshot.Self.Region, at.answer.Region)
 }
-
-// pause waits for d. It returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/edge/stop.go
+++ b/transport/edge/stop.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/steering"
+	"azurebridge/internal/wait"
 )
 
 // DefaultLookupWait is how long a stopping instance accepts new requests: until no caller's cached look-up names it, with
@@ -22,7 +23,7 @@
 // flight. A positive grace bounds that wait; the requests that are left are then cut and counted in the error.
 func (m *Manager) Stop(ctx context.Context, server *http.Server, grace time.Duration) error {
 	m.stopping.Store(true)
-	pause(ctx, m.opts.LookupWait)
+	wait.For(ctx, m.opts.LookupWait)
 	if grace > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, grace)
@@ -31,7 +32,7 @@
 	err := server.Shutdown(ctx)
 	// A submission goes on after its caller has gone, until its outcome is recorded.
 	for err == nil && m.Stats.InFlight.Load() > 0 {
-		if !pause(ctx, inFlightPoll) {
+		if !wait.For(ctx, inFlightPoll) {
 			err = ctx.Err()
 		}
 	}
--- a/transport/observe/recorder.go
+++ b/transport/observe/recorder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"azurebridge/coordination/message"
+	"azurebridge/internal/wait"
 	"azurebridge/state"
 	"azurebridge/state/report"
 )
@@ -157,18 +158,7 @@
 }
 
 // Run makes the copies that the window is measured from, until ctx ends.
-func (r *Recorder) Run(ctx context.Context) {
-	t := time.NewTicker(Step)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.Copy()
-		}
-	}
-}
+func (r *Recorder) Run(ctx context.Context) { wait.Each(ctx, Step, r.Copy) }
 
 // Copy keeps the present counts as the beginning of a step.
 func (r *Recorder) Copy() {
--- a/transport/peers/relay.go
+++ b/transport/peers/relay.go
@@ -11,6 +11,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/factwire"
 	"azurebridge/state"
 )
@@ -60,22 +61,18 @@
 
 // Run tells the instances of the group regularly that the reader knows the store, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker := time.NewTicker(gossip.RelayInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			r.endAll()
-			return
-		case <-ticker.C:
-		}
-		if !r.serving() {
-			r.endAll()
-			continue
-		}
-		revision := r.opts.Revision()
-		r.Publish(&factwire.Facts{After: revision, Revision: revision})
+	wait.Each(ctx, gossip.RelayInterval, r.repeat)
+	r.endAll()
+}
+
+// repeat sends the revision again, or ends the streams when other instances must not trust this one.
+func (r *Relay) repeat() {
+	if !r.serving() {
+		r.endAll()
+		return
 	}
+	revision := r.opts.Revision()
+	r.Publish(&factwire.Facts{After: revision, Revision: revision})
 }
 
 // serving reports whether other instances may trust this one.
--- a/transport/peers/subscriber.go
+++ b/transport/peers/subscriber.go
@@ -12,6 +12,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/factwire"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -96,16 +97,7 @@
 
 // Run keeps a stream from each reader until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
-	ticker := time.NewTicker(gossip.RelayInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.reconcile(ctx)
-		}
-	}
+	wait.Each(ctx, gossip.RelayInterval, func() { s.reconcile(ctx) })
 }
 
 // reconcile starts the streams that are missing and ends those from instances that are readers no more.
