front, backendconn, gossip: remove state and fields that can be derived or that nothing reads

A tracked connection is its own key: each change of state no longer takes the lock of the whole set and looks it up. Failure.Partial and Answer.Length were written and never read. The readers of a group were collected in two places. Behaviour is unchanged.

--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -82,8 +82,7 @@
 		time.Sleep(s.For)
 		i.signal(syscall.SIGCONT)
 	case killInstance, stopInstance:
-		end := i.trouble.begin(s.Fault)
-		defer func() { end() }()
+		defer i.trouble.begin(s.Fault)()
 		sig := syscall.SIGKILL
 		if s.Fault == stopInstance {
 			sig = syscall.SIGTERM
--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -32,14 +32,7 @@
 // domains where the group has several. An instance that is not listed is in a group, too, and never a reader.
 func Readers(v *catalog.View, self state.InstanceName, region state.RegionName) []routing.Peer {
 	groups := groupCount(v, region)
-	own := groupOf(self, groups)
-	var group []routing.Peer
-	for _, p := range v.Peers {
-		if p.Region == region && groupOf(p.Name, groups) == own {
-			group = append(group, p)
-		}
-	}
-	return first(group)
+	return readersOf(v, region, groupOf(self, groups), groups)
 }
 
 // IsReader reports whether the instance is among the readers.
@@ -49,16 +42,10 @@
 
 // allReaders returns the readers of all groups of a region.
 func allReaders(v *catalog.View, region state.RegionName) []routing.Peer {
-	groups := make([][]routing.Peer, groupCount(v, region))
-	for _, p := range v.Peers {
-		if p.Region == region {
-			g := groupOf(p.Name, len(groups))
-			groups[g] = append(groups[g], p)
-		}
-	}
 	var out []routing.Peer
-	for _, g := range groups {
-		out = append(out, first(g)...)
+	groups := groupCount(v, region)
+	for g := range groups {
+		out = append(out, readersOf(v, region, g, groups)...)
 	}
 	return out
 }
@@ -95,8 +82,14 @@
 	return int(state.RendezvousScore("relay group", string(name)) % uint64(groups))
 }
 
-// first returns the readers of a group.
-func first(group []routing.Peer) []routing.Peer {
+// readersOf returns the readers of one of a region's groups.
+func readersOf(v *catalog.View, region state.RegionName, number, groups int) []routing.Peer {
+	var group []routing.Peer
+	for _, p := range v.Peers {
+		if p.Region == region && groupOf(p.Name, groups) == number {
+			group = append(group, p)
+		}
+	}
 	slices.SortFunc(group, func(a, b routing.Peer) int {
 		return cmp.Compare(state.RendezvousScore("relay reader", string(a.Name)), state.RendezvousScore("relay reader", string(b.Name)))
 	})
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -64,18 +64,16 @@
 	Header http.Header
 	Body   []byte        // whole when Rest is nil, else its first bytes
 	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered
-	Length int64         // of the whole body, in bytes; -1 when not known
 }
 
 // Failure is an exchange without a whole answer.
 type Failure struct {
-	Step    string
-	Peer    string
-	Sent    bool // bytes of the request were written, so that it may have run
-	Reused  bool // the connection had been idle
-	Dialed  bool // the failure is that no connection could be opened
-	Partial bool // an answer had begun
-	Err     error
+	Step   string
+	Peer   string
+	Sent   bool // bytes of the request were written, so that it may have run
+	Reused bool // the connection had been idle
+	Dialed bool // the failure is that no connection could be opened
+	Err    error
 }
 
 // Error names the step and the peer.
@@ -121,24 +119,24 @@
 	stop    func() bool // detaches the connection from the caller's context
 }
 
-func (x *exchange) fail(step string, sent, partial bool, err error) *Failure {
-	return &Failure{Step: step, Peer: x.request.Address, Sent: sent, Partial: partial, Err: err}
+func (x *exchange) fail(step string, sent bool, err error) *Failure {
+	return &Failure{Step: step, Peer: x.request.Address, Sent: sent, Err: err}
 }
 
 func (x *exchange) run() (*Answer, error) {
 	if x.request.long() {
 		go x.writeLong()
 	} else if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
-		return nil, x.fail("send to", n > 0, false, err)
+		return nil, x.fail("send to", n > 0, err)
 	}
 	resp, marks, err := x.readHead()
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{Marks: marks, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	a := &Answer{Marks: marks, Status: resp.StatusCode, Header: resp.Header}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBuffered+1))
 	if err != nil {
-		return nil, x.fail("read answer of", true, true, err)
+		return nil, x.fail("read answer of", true, err)
 	}
 	a.Body = body
 	if len(body) > MaxBuffered {
@@ -204,7 +202,7 @@
 	for range maxStrays {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, Marks{}, x.fail("read answer of", true, false, err)
+			return nil, Marks{}, x.fail("read answer of", true, err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
@@ -215,10 +213,10 @@
 		}
 		x.pool.Stats.Strays.Add(1)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-			return nil, Marks{}, x.fail("pass over a stray answer of", true, false, errors.Errorf("for request %s", marks.RequestID))
+			return nil, Marks{}, x.fail("pass over a stray answer of", true, errors.Errorf("for request %s", marks.RequestID))
 		}
 	}
-	return nil, Marks{}, x.fail("read answer of", true, false, errors.New("too many answers to other requests"))
+	return nil, Marks{}, x.fail("read answer of", true, errors.New("too many answers to other requests"))
 }
 
 // finish returns the connection to the pool when the server keeps it open. After a long body it is closed: the server may
--- a/transport/front/conns.go
+++ b/transport/front/conns.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -17,7 +19,7 @@
 	Stats ConnsStats
 
 	mu   sync.Mutex
-	open map[net.Conn]*trackedConn
+	open map[*trackedConn]struct{}
 }
 
 // ConnsStats counts callers' connections that were closed because of the routing table's limits.
@@ -28,7 +30,7 @@
 
 // NewConns returns an empty set.
 func NewConns(clock func() state.Instant) *Conns {
-	return &Conns{clock: clock, open: make(map[net.Conn]*trackedConn)}
+	return &Conns{clock: clock, open: make(map[*trackedConn]struct{})}
 }
 
 // trackedConn is a caller's connection.
@@ -103,21 +105,21 @@
 	}
 	t := &trackedConn{Conn: c, clock: l.conns.clock, since: l.conns.clock()}
 	l.conns.mu.Lock()
-	l.conns.open[t] = t
+	l.conns.open[t] = struct{}{}
 	l.conns.mu.Unlock()
 	return t, nil
 }
 
 // State follows the states of the server's connections; set it as http.Server.ConnState.
 func (s *Conns) State(c net.Conn, to http.ConnState) {
-	s.mu.Lock()
-	t := s.open[c]
-	if to == http.StateClosed || to == http.StateHijacked {
-		delete(s.open, c)
+	t, ok := c.(*trackedConn)
+	if !ok {
+		return // not of a Listener of this set
 	}
-	s.mu.Unlock()
-	if t == nil {
-		return
+	if to == http.StateClosed || to == http.StateHijacked {
+		s.mu.Lock()
+		delete(s.open, t)
+		s.mu.Unlock()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,11 +135,7 @@
 func (s *Conns) list() []*trackedConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]*trackedConn, 0, len(s.open))
-	for _, t := range s.open {
-		list = append(list, t)
-	}
-	return list
+	return slices.Collect(maps.Keys(s.open))
 }
 
 // Expire closes the connections that have been idle, or whose callers have taken for a header, longer than the limits say.
