catalog, metastore, front: facts carry the store's revision and their source; sends by an old view are counted

Lines about backend servers now name revision and source, the view has its revision, and a request that is sent to a server which is no longer in the newest view is counted (azb_front_old_view) and logged. No decision depends on any of it yet.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -143,7 +143,7 @@
 		Wait: func() time.Duration {
 			return gossip.WatchWait(gossip.Watchers(p.loop.View(), cfg.Name, cfg.Region), rand.Float64())
 		},
-		Tell:   func(revision uint64) { p.peers.Tell(revision) },
+		Tell:   func(revision catalog.Revision) { p.peers.Tell(revision) },
 		Ask:    p.askPeers,
 		Relays: p.readers, Publish: func(facts *factwire.Facts) { p.relay.Publish(facts) },
 	})
@@ -243,16 +243,16 @@
 }
 
 // askPeers asks another instance for what it knows of the store.
-func (p *program) askPeers(ctx context.Context, after metastore.Revision) ([]catalog.Item, metastore.Revision, bool) {
-	facts, err := p.asker.Ask(ctx, uint64(after))
+func (p *program) askPeers(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
+	facts, err := p.asker.Ask(ctx, after)
 	if err != nil {
 		p.log.Warn("another instance does not tell what it knows of the store", "error", err.Error())
 	}
 	if err != nil || facts == nil {
 		return nil, 0, false
 	}
-	p.log.Info("another instance has told what it knows of the store", "revision", facts.Revision, "items", len(facts.Items))
-	return facts.Items, metastore.Revision(facts.Revision), true
+	p.log.Info("another instance has told what it knows of the store", "revision", uint64(facts.Revision), "items", len(facts.Items))
+	return facts.Items, facts.Revision, true
 }
 
 // ready reports whether the instance takes new callers.
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -79,6 +79,7 @@
 		}
 		return int64(v.Table.Version)
 	})
+	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision) })
 	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
 	gauge("control.store_lost", func(v *catalog.View) int64 {
 		if v.StoreLost {
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -58,6 +58,8 @@
 	mostAt      state.Instant
 	notes       []Note
 	dirty       bool
+	revision    Revision // of the store, up to which the facts are known
+	source      Source   // of the facts under way
 }
 
 // member is one backend server.
@@ -88,8 +90,10 @@
 func (c *Core) Step(now state.Instant, ev Event) {
 	switch ev := ev.(type) {
 	case Listed:
+		c.revision, c.source = ev.Revision, ev.Source
 		c.list(now, ev.Items)
 	case Changed:
+		c.revision, c.source = ev.Revision, ev.Source
 		c.change(now, ev.Items)
 	case StoreLost:
 		if !c.lost {
@@ -234,7 +238,7 @@
 		c.servers[key] = m
 	}
 	if m.Name == "" && single || m.Name != "" && m.Draining != b.Draining {
-		c.note("backend server listed", "server", string(b.Name), "service", string(b.Service), "domain", string(b.Domain),
+		c.noteFact("backend server listed", "server", string(b.Name), "service", string(b.Service), "domain", string(b.Domain),
 			"draining", b.Draining, "cold_ms", int64(b.ColdUntil)/int64(time.Millisecond))
 	}
 	m.Backend = *b
@@ -257,11 +261,11 @@
 		if grace > 0 && !m.Draining {
 			if m.vanished == 0 {
 				m.vanished, m.grace = now, grace
-				c.note("backend server missing, kept for a moment", "server", string(m.Name), "ms", grace.Milliseconds())
+				c.noteFact("backend server missing, kept for a moment", "server", string(m.Name), "ms", grace.Milliseconds())
 			}
 			return
 		}
-		c.note("backend server gone", "server", string(m.Name), "service", string(m.Service))
+		c.noteFact("backend server gone", "server", string(m.Name), "service", string(m.Service))
 		delete(c.servers, key)
 	}
 	if e, ok := c.evacuated[key]; ok {
@@ -310,6 +314,11 @@
 	return notes
 }
 
+// noteFact notes a change with the revision of the facts that made it, and where they come from.
+func (c *Core) noteFact(message string, fields ...any) {
+	c.note(message, append(fields, "revision", uint64(c.revision), "source", c.source.String())...)
+}
+
 func (c *Core) note(message string, fields ...any) {
 	c.notes = append(c.notes, Note{message, fields})
 	c.dirty = true
--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -49,11 +49,11 @@
 func TestFewMissingServersAreDroppedAfterACut(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{servers(20)})
+	c.Step(testStart, Listed{Items: servers(20)})
 	c.Step(testStart.Add(time.Second), StoreLost{})
 	back := testStart.Add(13 * time.Second)
 	c.Step(back, StoreRegained{})
-	c.Step(back, Listed{servers(18)})
+	c.Step(back, Listed{Items: servers(18)})
 	g.Expect(names(c.View())).To(HaveLen(18))
 }
 
@@ -62,13 +62,13 @@
 func TestLapsedServersStayInUseUntilTheyAreBack(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{servers(20)})
+	c.Step(testStart, Listed{Items: servers(20)})
 	c.Step(testStart, StoreLost{})
 	back := testStart.Add(5 * time.Second)
 	c.Step(back, StoreRegained{})
-	c.Step(back, Listed{nil})
+	c.Step(back, Listed{Items: nil})
 	g.Expect(names(c.View())).To(HaveLen(20))
-	c.Step(back.Add(time.Second), Changed{servers(10)})
+	c.Step(back.Add(time.Second), Changed{Items: servers(10)})
 	due, ok := c.NextTick()
 	g.Expect(ok).To(BeTrue())
 	g.Expect(due).To(Equal(back.Add(LapseGrace)))
@@ -98,15 +98,15 @@
 	g := NewWithT(t)
 	c := newTestCore()
 	evacuation := Item{Key: "evacuate/zone-0", Fact: Evacuation{Domain: "zone-0"}}
-	c.Step(testStart, Listed{append(servers(4), peer(1, "north", "zone-0"), evacuation)})
+	c.Step(testStart, Listed{Items: append(servers(4), peer(1, "north", "zone-0"), evacuation)})
 	g.Expect(names(c.View())).To(Equal([]string{"s-01", "s-03"}))
 	back := testStart.Add(10 * time.Second)
-	c.Step(back, Changed{[]Item{{Key: evacuation.Key}}})
+	c.Step(back, Changed{Items: []Item{{Key: evacuation.Key}}})
 	v := c.View()
 	g.Expect(names(v)).To(HaveLen(4))
 	g.Expect(find(t, v, "s-00").LimitedUntil).To(Equal(back.Add(GuardTime)))
 	g.Expect(find(t, v, "s-01").LimitedUntil).To(BeZero())
-	c.Step(back.Add(time.Second), Changed{[]Item{server(0)}})
+	c.Step(back.Add(time.Second), Changed{Items: []Item{server(0)}})
 	g.Expect(find(t, c.View(), "s-00").LimitedUntil).To(BeZero(), "its heartbeat says that it is warm")
 }
 
@@ -116,7 +116,7 @@
 	c := newTestCore()
 	it := server(0)
 	it.Fact.(*routing.Backend).ColdUntil = state.Instant(2 * time.Second)
-	c.Step(testStart, Listed{[]Item{it, peer(1, "north", "zone-0")}})
+	c.Step(testStart, Listed{Items: []Item{it, peer(1, "north", "zone-0")}})
 	s := find(t, c.View(), "s-00")
 	g.Expect(s.LimitedUntil).To(Equal(testStart.Add(2 * time.Second)))
 	g.Expect(s.ColdSender).To(BeTrue(), "the only instance may send")
@@ -126,7 +126,7 @@
 func TestFailingServersAreEjectedForAWhile(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{servers(2)})
+	c.Step(testStart, Listed{Items: servers(2)})
 	for range failuresToEject - 1 {
 		c.Step(testStart, Observed{Server: "s-00", Outcome: Failed})
 	}
@@ -150,10 +150,10 @@
 	g := NewWithT(t)
 	c := newTestCore()
 	for _, version := range []routing.Version{3, 7, 5, 7, 1} {
-		c.Step(testStart, Changed{[]Item{{Key: "config", Fact: &routing.Table{Version: version}}}})
+		c.Step(testStart, Changed{Items: []Item{{Key: "config", Fact: &routing.Table{Version: version}}}})
 	}
 	g.Expect(c.View().Table.Version).To(Equal(routing.Version(7)))
-	c.Step(testStart, Listed{nil})
+	c.Step(testStart, Listed{Items: nil})
 	g.Expect(c.View()).To(BeNil(), "nothing has changed")
 }
 
@@ -161,9 +161,9 @@
 func TestInstancesCountForAWhileAfterTheyHaveGone(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{[]Item{peer(1, "north", "a"), peer(2, "north", "a"), peer(3, "south", "b")}})
+	c.Step(testStart, Listed{Items: []Item{peer(1, "north", "a"), peer(2, "north", "a"), peer(3, "south", "b")}})
 	g.Expect(c.View().Instances).To(Equal(3))
-	c.Step(testStart.Add(time.Second), Changed{[]Item{{Key: "instances/front-3"}}})
+	c.Step(testStart.Add(time.Second), Changed{Items: []Item{{Key: "instances/front-3"}}})
 	v := c.View()
 	g.Expect(v.Instances).To(Equal(3))
 	g.Expect(v.Peers).To(HaveLen(2))
@@ -177,7 +177,7 @@
 func TestEntriesAreNear(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{[]Item{
+	c.Step(testStart, Listed{Items: []Item{
 		peer(1, "north", "a"), peer(2, "north", "a"), peer(3, "north", "b"), peer(4, "south", "c"),
 	}})
 	v := c.View()
@@ -195,7 +195,7 @@
 	items := append(servers(2), peer(1, "north", "a"),
 		Item{Key: "config", Fact: &routing.Table{Version: 3}}, Item{Key: "evacuate/x", Fact: Evacuation{Domain: "x"}},
 		Item{Key: "key", Fact: FleetKey("secret")})
-	c.Step(testStart, Listed{items})
+	c.Step(testStart, Listed{Items: items})
 	reply := make(chan []Item, 1)
 	c.Step(testStart, Collect{Reply: reply})
 	g.Expect(<-reply).To(ConsistOf(items))
@@ -205,9 +205,9 @@
 func TestManyNewServersAreNotedInOneLine(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{servers(300)})
+	c.Step(testStart, Listed{Items: servers(300)})
 	g.Expect(c.TakeNotes()).To(ConsistOf(Note{"backend servers listed", []any{"servers", 300}}))
-	c.Step(testStart, Changed{[]Item{server(300)}})
+	c.Step(testStart, Changed{Items: []Item{server(300)}})
 	g.Expect(c.TakeNotes()).To(HaveLen(1))
 }
 
@@ -216,7 +216,7 @@
 func TestLostAnswersDoNotMakeAServerCold(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestCore()
-	c.Step(testStart, Listed{servers(2)})
+	c.Step(testStart, Listed{Items: servers(2)})
 	c.Step(testStart, Observed{Server: "s-00", Outcome: Broken})
 	g.Expect(find(t, c.View(), "s-00").LimitedUntil).To(BeZero())
 }
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -26,14 +26,41 @@
 	Fact Fact
 }
 
+// Revision numbers the changes of the store.
+type Revision uint64
+
+// Source is where facts come from.
+type Source int
+
+// Sources of facts.
+const (
+	FromListing  Source = iota // a listing of the store
+	FromWatch                  // a watch of the store
+	FromReader                 // the relay of an instance that reads the store
+	FromInstance               // all that another instance knows
+)
+
+// String returns the source's name in log lines.
+func (s Source) String() string {
+	return [...]string{"listing", "watch", "reader", "instance"}[s]
+}
+
 // Event is an input of the core.
 type Event interface{ event() }
 
-// Listed is the complete content of the store.
-type Listed struct{ Items []Item }
+// Listed is the complete content of the store, at least as new as a revision.
+type Listed struct {
+	Source   Source
+	Revision Revision
+	Items    []Item
+}
 
-// Changed is what has changed since the last Listed or Changed.
-type Changed struct{ Items []Item }
+// Changed is what has changed after one revision, up to another.
+type Changed struct {
+	Source          Source
+	After, Revision Revision
+	Items           []Item
+}
 
 // StoreLost says that the store does not answer this instance.
 type StoreLost struct{}
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -17,7 +17,7 @@
 	c.dirty = false
 	v := &View{
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.most, StoreLost: c.lost,
-		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey,
+		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
+
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -16,12 +19,28 @@
 	Evacuated map[state.DomainName]bool
 	StoreLost bool
 	Stopping  bool
-	FleetKey  []byte // signs messages between instances; nil until one is known
+	Revision  Revision // of the store, up to which the view knows it
+	FleetKey  []byte   // signs messages between instances; nil until one is known
+}
+
+// Server returns a backend server of a service, and nil when it is to get no requests.
+func (v *View) Server(service state.ServiceName, name state.BackendName) *Server {
+	s := v.Services[service]
+	if s == nil {
+		return nil
+	}
+	i, found := slices.BinarySearchFunc(s.Servers, name, func(m *Server, name state.BackendName) int {
+		return cmp.Compare(m.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return s.Servers[i]
 }
 
 // Service is the backend servers of a service that may get requests, and what the instance counts for all of them.
 type Service struct {
-	Servers []*Server
+	Servers []*Server // sorted by name
 	*Counters
 }
 
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -29,7 +29,7 @@
 type Message struct {
 	From     state.InstanceName
 	Region   state.RegionName
-	Revision uint64
+	Revision catalog.Revision
 }
 
 // WatchWait returns how long one of several instances watches the store before it asks again: about checkInterval for each
--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -19,14 +19,14 @@
 
 // Facts is the content of the store as an instance knows it, or what has changed in it.
 type Facts struct {
-	After    uint64 // 0 for the whole content; otherwise Items are the changes after this revision
-	Revision uint64 // up to which the instance knows the store
+	After    catalog.Revision // 0 for the whole content; otherwise Items are the changes after this revision
+	Revision catalog.Revision // up to which the instance knows the store
 	Items    []catalog.Item
 }
 
 type frame struct {
-	After    uint64 `cbor:",omitempty"`
-	Revision uint64
+	After    catalog.Revision `cbor:",omitempty"`
+	Revision catalog.Revision
 	Items    []itemFrame
 }
 
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
 	"azurebridge/state"
 )
@@ -22,7 +23,7 @@
 	_        struct{} `cbor:",toarray"`
 	From     string
 	Region   string
-	Revision uint64
+	Revision catalog.Revision
 }
 
 // Encode returns the datagram of a message. It fails when the message is too large or no key is known.
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -128,6 +128,7 @@
 // exchange sends the request to a server and reports the outcome to the control goroutine.
 func (q *request) exchange(ctx context.Context, server *catalog.Server) (reply, error) {
 	m := q.m
+	q.checkView(server)
 	start := m.opts.Loop.Now()
 	server.Gauge.Begin(start)
 	defer server.Gauge.End(start)
@@ -176,6 +177,17 @@
 	return out, nil
 }
 
+// checkView counts a request that is sent to a server which has left since the request's view was taken.
+func (q *request) checkView(server *catalog.Server) {
+	newest := q.m.opts.Loop.View()
+	if newest.Server(q.service, server.Name) != nil {
+		return
+	}
+	q.m.Stats.OldView.Add(1)
+	q.log("sent to a server that has left", "server", string(server.Name), "revision", uint64(q.view.Revision),
+		"newest", uint64(newest.Revision))
+}
+
 // failed handles an exchange without an answer.
 func (q *request) failed(ctx context.Context, server *catalog.Server, err error, took time.Duration) {
 	var f *backendconn.Failure
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -69,6 +69,7 @@
 	Cut       atomic.Uint64 // answers cut because the server broke off
 	Retries   atomic.Uint64
 	NoBudget  atomic.Uint64 // retries not sent because the budget was used
+	OldView   atomic.Uint64 // requests sent to a server that is no longer in the newest view
 	InService atomic.Int64
 }
 
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -55,11 +55,11 @@
 type FollowerOptions struct {
 	Store Store
 	To    Teller
-	Wait  func() time.Duration  // how long the next watch waits for changes
-	Tell  func(revision uint64) // told when a listing may have brought more than the watches of others
+	Wait  func() time.Duration            // how long the next watch waits for changes
+	Tell  func(revision catalog.Revision) // told when a listing may have brought more than the watches of others
 	// Ask returns what another instance knows after a revision, and false when it knows nothing more. It is called while the
 	// store does not answer.
-	Ask     func(ctx context.Context, after Revision) ([]catalog.Item, Revision, bool)
+	Ask     func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool)
 	Relays  Relays
 	Publish func(*factwire.Facts) // told what a call to the store has brought
 	Contact *Contact
@@ -92,16 +92,16 @@
 }
 
 // Revision returns the revision up to which this instance knows the store.
-func (f *Follower) Revision() uint64 { return f.at.Load() }
+func (f *Follower) Revision() catalog.Revision { return catalog.Revision(f.at.Load()) }
 
 // Newer tells that another instance knows the store up to a revision. When the watch does not bring it soon, the follower
 // lists again.
-func (f *Follower) Newer(revision uint64) {
-	if revision <= f.at.Load() {
+func (f *Follower) Newer(revision catalog.Revision) {
+	if revision <= f.Revision() {
 		return
 	}
 	time.AfterFunc(behindTime, func() {
-		if revision <= f.at.Load() {
+		if revision <= f.Revision() {
 			return
 		}
 		f.Relist()
@@ -119,7 +119,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := firstBackoff
-	var at Revision
+	var at catalog.Revision
 	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
@@ -128,7 +128,7 @@
 			at, err = f.list(ctx)
 			listed = err == nil
 			if listed && !gap { // the readers know what a gap was about
-				f.opts.Tell(uint64(at))
+				f.opts.Tell(at)
 			}
 			gap = false
 		case f.opts.Relays.Covered():
@@ -150,7 +150,7 @@
 		default:
 			f.fail(ctx, err)
 			if items, newer, ok := f.opts.Ask(ctx, at); ok {
-				f.opts.To.Tell(ctx, catalog.Listed{Items: items})
+				f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: newer, Items: items})
 				f.at.Store(uint64(newer))
 				f.Stats.Asked.Add(1)
 				at, listed = newer, true
@@ -163,7 +163,7 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context) (Revision, error) {
+func (f *Follower) list(ctx context.Context) (catalog.Revision, error) {
 	f.Stats.Lists.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -173,13 +173,13 @@
 	}
 	f.opts.Contact.Mark()
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
-	f.opts.To.Tell(ctx, catalog.Listed{Items: items})
+	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromListing, Revision: at, Items: items})
 	f.at.Store(uint64(at))
-	f.opts.Publish(&factwire.Facts{After: uint64(at), Revision: uint64(at)})
+	f.opts.Publish(&factwire.Facts{After: at, Revision: at})
 	return at, nil
 }
 
-func (f *Follower) watch(ctx context.Context, after Revision) (Revision, error) {
+func (f *Follower) watch(ctx context.Context, after catalog.Revision) (catalog.Revision, error) {
 	f.Stats.Watches.Add(1)
 	pause := f.opts.Wait()
 	call, cancel := context.WithTimeout(ctx, pause+watchSlack)
@@ -195,15 +195,15 @@
 	f.at.Store(uint64(at))
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	if len(items) > 0 {
-		f.opts.To.Tell(ctx, catalog.Changed{Items: items})
-		f.opts.Publish(&factwire.Facts{After: uint64(after), Revision: uint64(at), Items: items})
+		f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: at, Items: items})
+		f.opts.Publish(&factwire.Facts{After: after, Revision: at, Items: items})
 		wait.For(ctx, settle)
 	}
 	return at, nil
 }
 
 // relayed takes changes from the readers until they no longer cover this instance.
-func (f *Follower) relayed(ctx context.Context, at Revision) (Revision, error) {
+func (f *Follower) relayed(ctx context.Context, at catalog.Revision) (catalog.Revision, error) {
 	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(at))
 	for {
 		select {
@@ -218,22 +218,22 @@
 			}
 		case d := <-f.opts.Relays.Deltas():
 			switch {
-			case d.Revision <= uint64(at):
+			case d.Revision <= at:
 				continue
-			case d.After > uint64(at):
+			case d.After > at:
 				return at, errGap
 			}
 			f.Stats.Relayed.Add(1)
-			at = Revision(d.Revision)
-			f.at.Store(d.Revision)
+			at = d.Revision
+			f.at.Store(uint64(at))
 			f.opts.To.Tell(ctx, catalog.StoreRegained{})
-			f.opts.To.Tell(ctx, catalog.Changed{Items: d.Items})
+			f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromReader, After: d.After, Revision: d.Revision, Items: d.Items})
 		}
 	}
 }
 
 // interruptible watches the store until it answers or a new listing is asked for.
-func (f *Follower) interruptible(ctx context.Context, cancel func(), after Revision, pause time.Duration) ([]catalog.Item, Revision, error) {
+func (f *Follower) interruptible(ctx context.Context, cancel func(), after catalog.Revision, pause time.Duration) ([]catalog.Item, catalog.Revision, error) {
 	done := make(chan struct{})
 	asked := make(chan bool, 1)
 	go func() {
--- a/transport/metastore/metastore.go
+++ b/transport/metastore/metastore.go
@@ -28,15 +28,12 @@
 // LeaseID names a lease of the store.
 type LeaseID uint64
 
-// Revision numbers the changes of the store.
-type Revision uint64
-
 // Store is the platform's metadata store, with items already decoded into facts.
 type Store interface {
 	// List returns all items and the revision that they are at least as new as.
-	List(ctx context.Context) ([]catalog.Item, Revision, error)
+	List(ctx context.Context) ([]catalog.Item, catalog.Revision, error)
 	// Watch returns the changes after a revision and the revision to go on from. It waits up to wait for the first.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]catalog.Item, Revision, error)
+	Watch(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.Item, catalog.Revision, error)
 	// Grant makes a lease and returns the time to live that applies.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
 	// Renew renews a lease.
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -22,16 +22,16 @@
 // fakeStore is a store whose watches can be deaf, and which can be away.
 type fakeStore struct {
 	mu        sync.Mutex
-	revision  Revision
+	revision  catalog.Revision
 	away      bool
-	watch     func(ctx context.Context, after Revision) ([]catalog.Item, Revision, error)
+	watch     func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error)
 	lists     int
 	entries   int
 	lease     LeaseID
 	leaseGone bool
 }
 
-func (s *fakeStore) List(context.Context) ([]catalog.Item, Revision, error) {
+func (s *fakeStore) List(context.Context) ([]catalog.Item, catalog.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -41,7 +41,7 @@
 	return nil, s.revision, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after Revision, _ time.Duration) ([]catalog.Item, Revision, error) {
+func (s *fakeStore) Watch(ctx context.Context, after catalog.Revision, _ time.Duration) ([]catalog.Item, catalog.Revision, error) {
 	return s.watch(ctx, after)
 }
 
@@ -88,7 +88,7 @@
 }
 
 // deaf is a watch that hears of nothing until its call is given up.
-func deaf(ctx context.Context, _ Revision) ([]catalog.Item, Revision, error) {
+func deaf(ctx context.Context, _ catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
 }
@@ -141,8 +141,8 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := NewFollower(FollowerOptions{
-		Store: s, To: to, Wait: func() time.Duration { return time.Hour }, Tell: func(uint64) {}, Log: hclog.NewNullLogger(),
-		Ask:    func(context.Context, Revision) ([]catalog.Item, Revision, bool) { return nil, 0, false },
+		Store: s, To: to, Wait: func() time.Duration { return time.Hour }, Tell: func(catalog.Revision) {}, Log: hclog.NewNullLogger(),
+		Ask:    func(context.Context, catalog.Revision) ([]catalog.Item, catalog.Revision, bool) { return nil, 0, false },
 		Relays: relays, Publish: func(*factwire.Facts) {}, Contact: NewContact(state.MonotonicClock()),
 	})
 	done := make(chan struct{})
@@ -169,7 +169,7 @@
 func TestGrownRevisionWithoutChangesLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
 	s := &fakeStore{revision: 7}
-	s.watch = func(ctx context.Context, after Revision) ([]catalog.Item, Revision, error) {
+	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 		if after == 7 {
 			s.set(func() { s.revision = 9 })
 			return nil, 9, nil
@@ -184,7 +184,7 @@
 func TestCompactedHistoryLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
 	s := &fakeStore{revision: 7}
-	s.watch = func(ctx context.Context, after Revision) ([]catalog.Item, Revision, error) {
+	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 		if after == 7 {
 			s.set(func() { s.revision = 9 })
 			return nil, 0, errors.Wrap(ErrCompacted, "watch")
@@ -241,10 +241,11 @@
 	relays.deltas <- &factwire.Facts{After: 7, Revision: 9, Items: first}
 	relays.deltas <- &factwire.Facts{After: 8, Revision: 11, Items: second}
 	relays.deltas <- &factwire.Facts{After: 9, Revision: 9}
-	g.Eventually(f.Revision, patience).Should(Equal(uint64(11)))
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(11)))
 	g.Expect(events.all()).To(HaveExactElements(
-		catalog.StoreRegained{}, catalog.Listed{},
-		catalog.StoreRegained{}, catalog.Changed{Items: first}, catalog.StoreRegained{}, catalog.Changed{Items: second},
+		catalog.StoreRegained{}, catalog.Listed{Revision: 7},
+		catalog.StoreRegained{}, catalog.Changed{Source: catalog.FromReader, After: 7, Revision: 9, Items: first},
+		catalog.StoreRegained{}, catalog.Changed{Source: catalog.FromReader, After: 8, Revision: 11, Items: second},
 	))
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
@@ -267,19 +268,19 @@
 // relay ended.
 func TestInstanceWithoutReadersWatchesTheStore(t *testing.T) {
 	g := NewWithT(t)
-	watched := make(chan Revision, 1)
+	watched := make(chan catalog.Revision, 1)
 	s := &fakeStore{revision: 7}
-	s.watch = func(ctx context.Context, after Revision) ([]catalog.Item, Revision, error) {
+	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 		watched <- after
 		return deaf(ctx, after)
 	}
 	relays := newRelays(true)
 	f := startRelayed(t, s, discard{}, relays)
 	relays.deltas <- &factwire.Facts{After: 7, Revision: 9}
-	g.Eventually(f.Revision, patience).Should(Equal(uint64(9)))
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(9)))
 	relays.uncovered <- struct{}{}
 	g.Consistently(watched, 3*behindTime).ShouldNot(Receive())
 	relays.covered.Store(false)
 	relays.uncovered <- struct{}{}
-	g.Eventually(watched, patience).Should(Receive(Equal(Revision(9))))
+	g.Eventually(watched, patience).Should(Receive(Equal(catalog.Revision(9))))
 }
--- a/transport/peers/facts.go
+++ b/transport/peers/facts.go
@@ -24,7 +24,7 @@
 
 // Handler answers other instances that ask what this one knows of the store, revision being what it knows it up to, and
 // those that listen to its relay.
-func Handler(loop *catalog.Loop, revision func() uint64, relay *Relay) http.Handler {
+func Handler(loop *catalog.Loop, revision func() catalog.Revision, relay *Relay) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayPath, relay)
 	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
@@ -34,7 +34,7 @@
 			return
 		}
 		at := revision() // read before the facts, which may be newer
-		if at <= after {
+		if uint64(at) <= after {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -63,12 +63,12 @@
 }
 
 // Ask returns what one other instance knows, or nil when it knows nothing newer than the revision.
-func (a *Asker) Ask(ctx context.Context, after uint64) (*factwire.Facts, error) {
+func (a *Asker) Ask(ctx context.Context, after catalog.Revision) (*factwire.Facts, error) {
 	address := a.choose()
 	if address == "" {
 		return nil, nil
 	}
-	url := "http://" + address + factsPath + "?after=" + strconv.FormatUint(after, 10)
+	url := "http://" + address + factsPath + "?after=" + strconv.FormatUint(uint64(after), 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "ask %s for facts", address)
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -25,7 +25,7 @@
 	Region state.RegionName
 	Listen netip.AddrPort
 	Loop   *catalog.Loop
-	Newer  func(revision uint64) // told what revision of the store another instance knows
+	Newer  func(revision catalog.Revision) // told what revision of the store another instance knows
 	Log    hclog.Logger
 }
 
@@ -82,7 +82,7 @@
 }
 
 // Tell sends the revision up to which this instance knows the store.
-func (n *Node) Tell(revision uint64) {
+func (n *Node) Tell(revision catalog.Revision) {
 	v := n.opts.Loop.View()
 	peers := gossip.Peers(v, n.opts.Self, n.opts.Region, rand.IntN)
 	if len(v.FleetKey) == 0 || len(peers) == 0 {
--- a/transport/peers/relay.go
+++ b/transport/peers/relay.go
@@ -28,8 +28,8 @@
 	Self     state.InstanceName
 	Region   state.RegionName
 	Loop     *catalog.Loop
-	Revision func() uint64 // up to which this instance knows the store
-	InTouch  func() bool   // whether the store has answered this instance lately
+	Revision func() catalog.Revision // up to which this instance knows the store
+	InTouch  func() bool             // whether the store has answered this instance lately
 	Log      hclog.Logger
 }
 
@@ -92,7 +92,7 @@
 	message, err := factwire.Encode(r.opts.Loop.View().FleetKey, facts)
 	if err != nil {
 		r.Stats.Encoding.Add(1)
-		r.opts.Log.Error("changes not relayed", "revision", facts.Revision, "error", err.Error())
+		r.opts.Log.Error("changes not relayed", "revision", uint64(facts.Revision), "error", err.Error())
 		return
 	}
 	message = factwire.AppendMessage(nil, message)
--- a/transport/peers/relay_test.go
+++ b/transport/peers/relay_test.go
@@ -70,7 +70,7 @@
 	g.Eventually(func() int { return len(loop.View().Peers) }, patience).Should(Equal(2))
 	for i, rd := range g.readers {
 		rd.relay = NewRelay(RelayOptions{
-			Self: loop.View().Peers[i].Name, Region: "north", Loop: loop, Revision: rd.revision.Load, InTouch: rd.inTouch.Load,
+			Self: loop.View().Peers[i].Name, Region: "north", Loop: loop, Revision: rd.known, InTouch: rd.inTouch.Load,
 			Log: hclog.NewNullLogger(),
 		})
 		go rd.relay.Run(ctx)
@@ -81,6 +81,8 @@
 	return g
 }
 
+func (rd *reader) known() catalog.Revision { return catalog.Revision(rd.revision.Load()) }
+
 // tampered changes what a stream carries.
 type tampered struct {
 	http.ResponseWriter
@@ -148,7 +150,7 @@
 	relay.mu.Lock()
 	relay.streams[s] = struct{}{}
 	relay.mu.Unlock()
-	for i := range uint64(maxRelayQueue + 1) {
+	for i := range catalog.Revision(maxRelayQueue + 1) {
 		relay.Publish(&factwire.Facts{After: i, Revision: i + 1})
 	}
 	g.Expect(relay.Stats.Dropped.Load()).To(BeNumerically(">=", 1))
