--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -220,3 +220,29 @@
 	c.Step(testStart, Observed{Server: "s-00", Outcome: Broken})
 	g.Expect(find(t, c.View(), "s-00").LimitedUntil).To(BeZero())
 }
+
+// draining returns the entry of a server that leaves.
+func draining(i int) Item {
+	it := server(i)
+	b := *it.Fact.(*routing.Backend)
+	b.Draining = true
+	it.Fact = &b
+	return it
+}
+
+// Guards against requests to a server that has left, after an older state of the store has replaced a newer one: another
+// instance that knows less may be asked, and a listing may be overtaken by relayed changes.
+func TestOlderStateDoesNotReplaceANewerOne(t *testing.T) {
+	for _, older := range []Event{
+		Listed{Source: FromInstance, Revision: 7, Items: servers(2)},
+		Changed{Source: FromReader, After: 5, Revision: 7, Items: servers(1)},
+	} {
+		g := NewWithT(t)
+		c := newTestCore()
+		c.Step(testStart, Listed{Revision: 6, Items: servers(2)})
+		c.Step(testStart, Changed{After: 6, Revision: 9, Items: []Item{draining(0)}})
+		c.Step(testStart, older)
+		g.Expect(names(c.View())).To(Equal([]string{"s-01"}))
+		g.Expect(c.View()).To(BeNil(), "an older state changes nothing")
+	}
+}
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -139,12 +139,29 @@
 
 func startRelayed(t *testing.T, s *fakeStore, to Teller, relays *fakeRelays) *Follower {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	f := NewFollower(FollowerOptions{
+	return run(t, options(s, to, relays))
+}
+
+// startAsking starts a follower without readers that asks other instances by ask.
+func startAsking(t *testing.T, s *fakeStore, ask func(context.Context, catalog.Revision) ([]catalog.Item, catalog.Revision, bool)) *Follower {
+	t.Helper()
+	opts := options(s, discard{}, newRelays(false))
+	opts.Ask = ask
+	return run(t, opts)
+}
+
+func options(s *fakeStore, to Teller, relays *fakeRelays) FollowerOptions {
+	return FollowerOptions{
 		Store: s, To: to, Wait: func() time.Duration { return time.Hour }, Tell: func(catalog.Revision) {}, Log: hclog.NewNullLogger(),
 		Ask:    func(context.Context, catalog.Revision) ([]catalog.Item, catalog.Revision, bool) { return nil, 0, false },
 		Relays: relays, Publish: func(*factwire.Facts) {}, Contact: NewContact(state.MonotonicClock()),
-	})
+	}
+}
+
+func run(t *testing.T, opts FollowerOptions) *Follower {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := NewFollower(opts)
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
@@ -284,3 +301,19 @@
 	relays.uncovered <- struct{}{}
 	g.Eventually(watched, patience).Should(Receive(Equal(catalog.Revision(9))))
 }
+
+// Guards against an instance that forgets what it knows when a listing fails: it would take any older state from another
+// instance and send requests to servers that have left.
+func TestFailedListingKeepsTheRevision(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	asked := make(chan catalog.Revision, 8)
+	f := startAsking(t, s, func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
+		asked <- after
+		return nil, 0, false
+	})
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(7)))
+	s.set(func() { s.away = true })
+	f.Relist()
+	g.Eventually(asked, patience).Should(Receive(Equal(catalog.Revision(7))))
+}
