front: a request is placed and sent by the newest view

Callers' requests could reach a server that had left: the view was taken when the header had arrived and was renewed only after a server had got the request. A slow body, connections that did not open (300 ms each, up to six) and the opening of the last one left the request with a view that was seconds old.

Now the view is taken again when the body is there (a new table is matched again), at each choice, and once more when the connection is open: placement.Holds says whether the choice stands, and the exchange is given up before anything is sent when it does not. This also covers evacuated failure domains, servers that restarted under their name, and those that became cold.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -91,6 +91,16 @@
 	return nil, Limited
 }
 
+// Holds reports whether a server that an older view offered may still get the request: it is in the newest view as the same
+// incarnation, and has not become cold meanwhile.
+func Holds(newest *catalog.View, service state.ServiceName, chosen *catalog.Server, now state.Instant) bool {
+	s := newest.Server(service, chosen.Name)
+	if s == nil || s.Address != chosen.Address || s.Born != chosen.Born {
+		return false
+	}
+	return !now.Before(s.LimitedUntil) || now.Before(chosen.LimitedUntil)
+}
+
 // queueFactor is the expected time, in service times, that a request is always allowed: where the work alone takes longer
 // than wanted, short queues keep the servers busy.
 const queueFactor = 1.5
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -241,3 +241,33 @@
 }
 
 func TestMain(m *testing.M) { proptest.Main(m, 300, 30) }
+
+// Guards against a request to a server that has left, was replaced or became cold between the choice and the sending.
+func TestChoiceByAnOlderViewHoldsOnlyForTheSameWarmServer(t *testing.T) {
+	server := func(change func(s *catalog.Server)) *catalog.Server {
+		s := &catalog.Server{Backend: routing.Backend{Name: "s", Service: "svc", Address: "10.0.0.1:80", Born: 1}}
+		change(s)
+		return s
+	}
+	same := func(*catalog.Server) {}
+	cold := func(s *catalog.Server) { s.LimitedUntil = now + 1 }
+	for name, c := range map[string]struct {
+		chosen, newest *catalog.Server
+		holds          bool
+	}{
+		"unchanged":        {server(same), server(same), true},
+		"gone":             {server(same), nil, false},
+		"restarted":        {server(same), server(func(s *catalog.Server) { s.Born = 2 }), false},
+		"moved":            {server(same), server(func(s *catalog.Server) { s.Address = "10.0.0.2:80" }), false},
+		"cold since":       {server(same), server(cold), false},
+		"cold as it was":   {server(cold), server(cold), true},
+		"no longer cold":   {server(cold), server(same), true},
+		"only now ejected": {server(same), server(func(s *catalog.Server) { s.EjectedUntil = now + 1 }), true},
+	} {
+		v := &catalog.View{Services: map[state.ServiceName]*catalog.Service{"svc": {}}}
+		if c.newest != nil {
+			v.Services["svc"].Servers = []*catalog.Server{c.newest}
+		}
+		NewWithT(t).Expect(Holds(v, "svc", c.chosen, now)).To(Equal(c.holds), name)
+	}
+}
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -55,8 +55,13 @@
 	Chunked bool          // the body is sent in chunks, because its length is not known
 	NoBody  bool          // the method is HEAD, so that the answer has no body
 	MaxIdle time.Duration // an idle connection is used only when it has been idle for less
+	// Withdrawn is asked once the connection is open, before anything is sent. When it returns true the exchange is given up.
+	Withdrawn func() bool
 }
 
+// ErrWithdrawn is the cause of a failure whose request was withdrawn before anything was sent.
+var ErrWithdrawn = errors.New("request withdrawn")
+
 // Answer is a backend server's answer.
 type Answer struct {
 	Marks
@@ -92,6 +97,10 @@
 	if err != nil {
 		return nil, &Failure{Step: "connect", Peer: r.Address, Dialed: true, Err: err}
 	}
+	if r.Withdrawn() {
+		c.Close()
+		return nil, &Failure{Step: "send to", Peer: r.Address, Err: ErrWithdrawn}
+	}
 	reused := c.used
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &exchange{pool: p, key: key, conn: c, dialect: d, request: r, stop: stop}
--- a/transport/front/carry.go
+++ b/transport/front/carry.go
@@ -80,8 +80,8 @@
 		if q.sent >= q.route.MaxAttempts || q.left() < leastLeft {
 			return nil, false
 		}
-		q.view = m.opts.Loop.View()
 	}
+	q.view = m.opts.Loop.View()
 	server, reason := placement.Choose(q.view, &placement.Request{
 		Service: q.service, Object: q.object(), Route: q.route, Region: m.opts.Region,
 		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Draw: rand.Float64, Left: q.left(),
@@ -128,7 +128,6 @@
 // exchange sends the request to a server and reports the outcome to the control goroutine.
 func (q *request) exchange(ctx context.Context, server *catalog.Server) (reply, error) {
 	m := q.m
-	q.checkView(server)
 	start := m.opts.Loop.Now()
 	server.Gauge.Begin(start)
 	defer server.Gauge.End(start)
@@ -141,6 +140,7 @@
 		Server: server.Name, Address: server.Address, ID: q.caller.RequestID,
 		Head: backendconn.Head(q.r.Method, q.r.RequestURI, q.r.Host, h), Body: q.body, Rest: q.rest,
 		Chunked: h.Get("Transfer-Encoding") != "", NoBody: q.r.Method == http.MethodHead, MaxIdle: idle,
+		Withdrawn: func() bool { return q.withdrawn(server) },
 	})
 	now := m.opts.Loop.Now()
 	took := now.Sub(start)
@@ -177,15 +177,16 @@
 	return out, nil
 }
 
-// checkView counts a request that is sent to a server which has left since the request's view was taken.
-func (q *request) checkView(server *catalog.Server) {
+// withdrawn reports whether the server must not get the request any more, now that the connection is open.
+func (q *request) withdrawn(server *catalog.Server) bool {
 	newest := q.m.opts.Loop.View()
-	if newest.Server(q.service, server.Name) != nil {
-		return
+	if newest == q.view || placement.Holds(newest, q.service, server, q.m.opts.Loop.Now()) {
+		return false
 	}
-	q.m.Stats.OldView.Add(1)
-	q.log("sent to a server that has left", "server", string(server.Name), "revision", uint64(q.view.Revision),
+	q.m.Stats.Withdrawn.Add(1)
+	q.log("request withdrawn from a server that has left", "server", string(server.Name), "revision", uint64(q.view.Revision),
 		"newest", uint64(newest.Revision))
+	return true
 }
 
 // failed handles an exchange without an answer.
@@ -194,6 +195,10 @@
 	if !errors.As(err, &f) {
 		f = &backendconn.Failure{Sent: true, Err: err}
 	}
+	if errors.Is(err, backendconn.ErrWithdrawn) {
+		q.last = "server left"
+		return
+	}
 	outcome := catalog.Broken
 	if f.Dialed {
 		outcome = catalog.Unreachable
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -69,7 +69,7 @@
 	Cut       atomic.Uint64 // answers cut because the server broke off
 	Retries   atomic.Uint64
 	NoBudget  atomic.Uint64 // retries not sent because the budget was used
-	OldView   atomic.Uint64 // requests sent to a server that is no longer in the newest view
+	Withdrawn atomic.Uint64 // exchanges given up before the request was sent, because the server had left meanwhile
 	InService atomic.Int64
 }
 
@@ -96,26 +96,35 @@
 		m: m, w: w, r: r, view: v, arrived: m.opts.Loop.Now(),
 		caller: m.opts.Dialect.Identify(r.Header),
 	}
-	if v.Table == nil {
-		q.refuse("no routing table", noTableRetry)
+	if !q.match() || !q.readBody(v.Table.Limits) {
+		return
+	}
+	q.view = m.opts.Loop.View() // the body may have taken long to arrive
+	if q.view.Table != v.Table && !q.match() {
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	q.route = v.Table.Match(hostName(r.Host), path)
+	q.service = q.route.Part(rand.Float64())
+	q.carry()
+}
+
+// match finds the route in the view's table. It answers and returns false when there is none.
+func (q *request) match() bool {
+	if q.view.Table == nil {
+		q.refuse("no routing table", noTableRetry)
+		return false
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	q.route = q.view.Table.Match(hostName(q.r.Host), path)
 	if q.route == nil {
-		m.Stats.NoRoute.Add(1)
+		q.m.Stats.NoRoute.Add(1)
 		q.answerOwn(http.StatusNotFound, "no route", 0)
-		return
+		return false
 	}
 	q.limit = q.route.Timeout
 	if q.caller.Patience > 0 {
 		q.limit = min(q.limit, q.caller.Patience)
 	}
-	if !q.readBody(v.Table.Limits) {
-		return
-	}
-	q.service = q.route.Part(rand.Float64())
-	q.carry()
+	return true
 }
 
 func hostName(host string) string {
