catalog, metastore, peers: an older state of the store never replaces a newer one

A server that had said it was leaving could get requests again: a failed listing set the follower's revision to 0, so that the next answer of any other instance was taken, also one that knew less (an instance that was cut off, for example). And an instance that was asked named the revision of its follower, which could be ahead of the facts in its control state.

The revision is now part of the control state. The core takes a listing or changes only if they follow on what it knows, and answers another instance with its facts and their revision at once. The follower keeps its revision when a listing fails, and passes a revision on only after the control goroutine has the facts.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -214,7 +214,7 @@
 // listen opens the listeners and serves them.
 func (p *program) listen(failed chan<- error) error {
 	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
-	facts := peers.Handler(p.loop, p.follower.Revision, p.relay)
+	facts := peers.Handler(p.loop, p.relay)
 	for _, s := range []struct {
 		address netip.AddrPort
 		server  *http.Server
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -90,11 +90,13 @@
 func (c *Core) Step(now state.Instant, ev Event) {
 	switch ev := ev.(type) {
 	case Listed:
-		c.revision, c.source = ev.Revision, ev.Source
-		c.list(now, ev.Items)
+		if c.advance(ev.Source, c.revision, ev.Revision) {
+			c.list(now, ev.Items)
+		}
 	case Changed:
-		c.revision, c.source = ev.Revision, ev.Source
-		c.change(now, ev.Items)
+		if c.advance(ev.Source, ev.After, ev.Revision) && len(ev.Items) > 0 {
+			c.change(now, ev.Items)
+		}
 	case StoreLost:
 		if !c.lost {
 			c.lost = true
@@ -108,7 +110,7 @@
 	case Observed:
 		c.observe(now, ev)
 	case Collect:
-		ev.Reply <- c.items(now)
+		ev.Reply <- Known{Revision: c.revision, Items: c.items(now)}
 	case Limits:
 		c.opts.Cold, c.dirty = ev.Cold, true
 	case Stopping:
@@ -139,6 +141,18 @@
 	return due, due != 0
 }
 
+// advance takes the revision of facts that follow on the revision after. It returns false for facts that are older than what
+// is known, or that leave a gap: what they say of a key may be out of date by the time they are applied.
+func (c *Core) advance(source Source, after, revision Revision) bool {
+	if revision < c.revision || after > c.revision {
+		c.note("facts passed over", "source", source.String(), "after", uint64(after), "revision", uint64(revision),
+			"known", uint64(c.revision))
+		return false
+	}
+	c.revision, c.source = revision, source
+	return true
+}
+
 // list replaces everything by the content of the store.
 func (c *Core) list(now state.Instant, items []Item) {
 	present := make(map[string]bool, len(items))
--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -195,10 +195,12 @@
 	items := append(servers(2), peer(1, "north", "a"),
 		Item{Key: "config", Fact: &routing.Table{Version: 3}}, Item{Key: "evacuate/x", Fact: Evacuation{Domain: "x"}},
 		Item{Key: "key", Fact: FleetKey("secret")})
-	c.Step(testStart, Listed{Items: items})
-	reply := make(chan []Item, 1)
+	c.Step(testStart, Listed{Revision: 5, Items: items})
+	reply := make(chan Known, 1)
 	c.Step(testStart, Collect{Reply: reply})
-	g.Expect(<-reply).To(ConsistOf(items))
+	known := <-reply
+	g.Expect(known.Items).To(ConsistOf(items))
+	g.Expect(known.Revision).To(Equal(Revision(5)))
 }
 
 // Guards against a line for each server when an instance starts among hundreds of them.
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -75,7 +75,13 @@
 }
 
 // Collect asks for all that the core knows of the store. The core answers at once; Reply has room for the answer.
-type Collect struct{ Reply chan<- []Item }
+type Collect struct{ Reply chan<- Known }
+
+// Known is all that an instance knows of the store, up to a revision.
+type Known struct {
+	Revision Revision
+	Items    []Item
+}
 
 // Limits are the limits in force from now on.
 type Limits struct {
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"azurebridge/state"
 )
 
@@ -52,15 +54,15 @@
 	}
 }
 
-// Collect returns what the core knows of the store, or nil when ctx ends first.
-func (l *Loop) Collect(ctx context.Context) []Item {
-	reply := make(chan []Item, 1)
+// Collect returns what the core knows of the store, or an error when ctx ends first.
+func (l *Loop) Collect(ctx context.Context) (Known, error) {
+	reply := make(chan Known, 1)
 	l.Tell(ctx, Collect{Reply: reply})
 	select {
-	case items := <-reply:
-		return items
+	case known := <-reply:
+		return known, nil
 	case <-ctx.Done():
-		return nil
+		return Known{}, errors.Wrap(ctx.Err(), "collect what is known of the store")
 	}
 }
 
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -119,42 +119,36 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := firstBackoff
-	var at catalog.Revision
 	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !listed:
-			at, err = f.list(ctx)
+			err = f.list(ctx)
 			listed = err == nil
 			if listed && !gap { // the readers know what a gap was about
-				f.opts.Tell(at)
+				f.opts.Tell(f.Revision())
 			}
 			gap = false
 		case f.opts.Relays.Covered():
-			at, err = f.relayed(ctx, at)
+			err = f.relayed(ctx)
 		default:
-			at, err = f.watch(ctx, at)
+			err = f.watch(ctx)
 		}
 		switch {
 		case err == nil:
 			backoff = firstBackoff
 		case errors.Is(err, errAsked), errors.Is(err, errMissed), errors.Is(err, errGap):
 			f.Stats.Abandoned.Add(1)
-			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", uint64(at), "why", err.Error())
+			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", uint64(f.Revision()), "why", err.Error())
 			listed, gap = false, errors.Is(err, errGap)
 		case errors.Is(err, ErrCompacted):
 			f.Stats.Compacted.Add(1)
-			f.opts.Log.Warn("history of the store is gone; listing again", "revision", uint64(at))
+			f.opts.Log.Warn("history of the store is gone; listing again", "revision", uint64(f.Revision()))
 			listed = false
 		default:
 			f.fail(ctx, err)
-			if items, newer, ok := f.opts.Ask(ctx, at); ok {
-				f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: newer, Items: items})
-				f.at.Store(uint64(newer))
-				f.Stats.Asked.Add(1)
-				at, listed = newer, true
-			}
+			listed = f.ask(ctx) || listed
 			if !wait.For(ctx, backoff) {
 				return
 			}
@@ -163,77 +157,90 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context) (catalog.Revision, error) {
+// ask takes what another instance knows. It returns false when that is not newer.
+func (f *Follower) ask(ctx context.Context) bool {
+	items, at, ok := f.opts.Ask(ctx, f.Revision())
+	if !ok || at <= f.Revision() {
+		return false
+	}
+	f.Stats.Asked.Add(1)
+	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: at, Items: items})
+	f.at.Store(uint64(at))
+	return true
+}
+
+func (f *Follower) list(ctx context.Context) error {
 	f.Stats.Lists.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	items, at, err := f.opts.Store.List(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	f.opts.Contact.Mark()
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromListing, Revision: at, Items: items})
-	f.at.Store(uint64(at))
 	f.opts.Publish(&factwire.Facts{After: at, Revision: at})
-	return at, nil
+	f.at.Store(uint64(at))
+	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, after catalog.Revision) (catalog.Revision, error) {
+func (f *Follower) watch(ctx context.Context) error {
 	f.Stats.Watches.Add(1)
-	pause := f.opts.Wait()
+	after, pause := f.Revision(), f.opts.Wait()
 	call, cancel := context.WithTimeout(ctx, pause+watchSlack)
 	defer cancel()
 	items, at, err := f.interruptible(call, cancel, after, pause)
 	if err != nil {
-		return after, err
+		return err
 	}
 	if len(items) == 0 && at > after {
-		return after, errMissed
+		return errMissed
 	}
 	f.opts.Contact.Mark()
-	f.at.Store(uint64(at))
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	if len(items) > 0 {
 		f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: at, Items: items})
 		f.opts.Publish(&factwire.Facts{After: after, Revision: at, Items: items})
+		f.at.Store(uint64(at))
 		wait.For(ctx, settle)
 	}
-	return at, nil
+	return nil
 }
 
 // relayed takes changes from the readers until they no longer cover this instance.
-func (f *Follower) relayed(ctx context.Context, at catalog.Revision) (catalog.Revision, error) {
-	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(at))
+func (f *Follower) relayed(ctx context.Context) error {
+	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(f.Revision()))
 	for {
 		select {
 		case <-ctx.Done():
-			return at, nil
+			return nil
 		case <-f.relist:
-			return at, errAsked
+			return errAsked
 		case <-f.opts.Relays.Uncovered():
 			if !f.opts.Relays.Covered() {
-				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", uint64(at))
-				return at, nil
+				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", uint64(f.Revision()))
+				return nil
 			}
 		case d := <-f.opts.Relays.Deltas():
 			switch {
-			case d.Revision <= at:
+			case d.Revision <= f.Revision():
 				continue
-			case d.After > at:
-				return at, errGap
+			case d.After > f.Revision():
+				return errGap
 			}
 			f.Stats.Relayed.Add(1)
-			at = d.Revision
-			f.at.Store(uint64(at))
 			f.opts.To.Tell(ctx, catalog.StoreRegained{})
 			f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromReader, After: d.After, Revision: d.Revision, Items: d.Items})
+			f.at.Store(uint64(d.Revision))
 		}
 	}
 }
 
 // interruptible watches the store until it answers or a new listing is asked for.
-func (f *Follower) interruptible(ctx context.Context, cancel func(), after catalog.Revision, pause time.Duration) ([]catalog.Item, catalog.Revision, error) {
+func (f *Follower) interruptible(
+	ctx context.Context, cancel func(), after catalog.Revision, pause time.Duration,
+) ([]catalog.Item, catalog.Revision, error) {
 	done := make(chan struct{})
 	asked := make(chan bool, 1)
 	go func() {
--- a/transport/peers/facts.go
+++ b/transport/peers/facts.go
@@ -22,9 +22,8 @@
 	factsTimeout = 700 * time.Millisecond
 )
 
-// Handler answers other instances that ask what this one knows of the store, revision being what it knows it up to, and
-// those that listen to its relay.
-func Handler(loop *catalog.Loop, revision func() catalog.Revision, relay *Relay) http.Handler {
+// Handler answers other instances that ask what this one knows of the store, and those that listen to its relay.
+func Handler(loop *catalog.Loop, relay *Relay) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayPath, relay)
 	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
@@ -33,12 +32,15 @@
 			http.Error(w, "after is not a revision", http.StatusBadRequest)
 			return
 		}
-		at := revision() // read before the facts, which may be newer
-		if uint64(at) <= after {
+		if uint64(loop.View().Revision) <= after {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
-		data, err := factwire.Encode(loop.View().FleetKey, &factwire.Facts{Revision: at, Items: loop.Collect(r.Context())})
+		known, err := loop.Collect(r.Context())
+		if err != nil {
+			return // the instance that asked has left
+		}
+		data, err := factwire.Encode(loop.View().FleetKey, &factwire.Facts{Revision: known.Revision, Items: known.Items})
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
