catalog: a late heartbeat does not take a departure back

A server's write to the store can be lost and carried out seconds later. When a heartbeat of before the departure arrives after it, the store lists the server as ready although it has said that it leaves, and callers' requests went there until its next heartbeat. The adapter did not read the number of the heartbeat.

An entry of the same process (same start) with a lower number than one that was seen is passed over, also for 30 s after the server has gone. Without an announced start nothing is compared, since numbers start anew.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -46,6 +46,7 @@
 	table       *routing.Table
 	tableKey    string
 	servers     map[string]*member // by key
+	departed    map[string]departure
 	evacuated   map[string]Evacuation
 	peers       map[string]*routing.Peer
 	counters    map[state.ServiceName]*Counters
@@ -81,7 +82,7 @@
 // NewCore returns a core that knows nothing.
 func NewCore(opts Options) *Core {
 	return &Core{
-		opts: opts, servers: make(map[string]*member), evacuated: make(map[string]Evacuation),
+		opts: opts, servers: make(map[string]*member), departed: make(map[string]departure), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), dirty: true,
 	}
 }
@@ -246,6 +247,10 @@
 
 // join takes a server's entry. single says that a new server gets a line of its own in the log.
 func (c *Core) join(now state.Instant, key string, b *routing.Backend, single bool) {
+	if c.late(key, b) {
+		c.noteFact("late heartbeat passed over", "server", string(b.Name), "beat", b.Beat, "draining", b.Draining)
+		return
+	}
 	m := c.servers[key]
 	if m == nil || m.Born != b.Born || m.Address != b.Address {
 		m = &member{gauge: &Gauge{}}
@@ -279,8 +284,7 @@
 			}
 			return
 		}
-		c.noteFact("backend server gone", "server", string(m.Name), "service", string(m.Service))
-		delete(c.servers, key)
+		c.depart(now, key, m)
 	}
 	if e, ok := c.evacuated[key]; ok {
 		c.note("failure domain taken back", "domain", string(e.Domain))
@@ -303,9 +307,7 @@
 func (c *Core) expire(now state.Instant) {
 	for key, m := range c.servers {
 		if m.vanished != 0 && !now.Before(m.vanished.Add(m.grace)) && !c.lost {
-			c.note("backend server gone", "server", string(m.Name), "service", string(m.Service))
-			delete(c.servers, key)
-			c.dirty = true
+			c.depart(now, key, m)
 		}
 	}
 	c.countInstances(now)
--- a/state/routing/backend.go
+++ b/state/routing/backend.go
@@ -13,6 +13,7 @@
 	Slots     int    // requests that it runs at the same time
 	Draining  bool   // it leaves and is to get no new requests
 	Born      int64  // start of its process, in milliseconds since 1970; 0 if not announced
+	Beat      int64  // number of the heartbeat that told this, since Born
 	ColdUntil state.Instant
 }
 
