gossip, peers, metastore: what readers relay is trusted by its age

An instance that listens to readers could know a departure too late: 1.5 s until a reader without the store notices, up to 0.8 s until it looks, and the instance's own watch after that (2.3 s and a call, where 2.5 s are allowed); a stream that arrives late added its delay. An instance that watched the store itself meanwhile waited 17 to 28 s at 100 instances: if that watch heard of nothing, nobody told it, and it looked at its readers again only when the watch ended.

Each message of a reader now carries the age of the store's last answer to it, and an instance trusts it for what is left of 1.7 s. A reader passes each answer of the store on instead of repeating its revision at intervals of its own, and tells an instance that subscribes at once. An instance that watches alone asks again after 0.75 to 2.25 s, and goes back to its readers when they relay again.

TestOldKnowledgeOfAReaderIsNotTrusted and TestOwnWatchEndsWhenReadersRelayAgain fail without it (tried); TestInstanceThatWatchesAloneAsksAgainSoon is new.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -141,7 +141,7 @@
 	p.follower = metastore.NewFollower(metastore.FollowerOptions{
 		Store: p.store, To: p.loop, Log: p.log.Named("store"), Contact: p.contact,
 		Wait: func() time.Duration {
-			return gossip.WatchWait(gossip.Watchers(p.loop.View(), cfg.Name, cfg.Region), rand.Float64())
+			return gossip.NextWatch(p.loop.View(), cfg.Name, cfg.Region, rand.Float64())
 		},
 		Tell:   func(revision catalog.Revision) { p.peers.Tell(revision) },
 		Ask:    p.askPeers,
@@ -149,7 +149,7 @@
 	})
 	p.relay = peers.NewRelay(peers.RelayOptions{
 		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Revision: p.follower.Revision, Log: p.log.Named("peers"),
-		InTouch: func() bool { return p.contact.Within(gossip.ContactAge) },
+		Contact: p.contact,
 	})
 	p.asker = peers.NewAsker(p.loop, cfg.Peers.String(), cfg.Seeds)
 	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -23,6 +23,9 @@
 	checkInterval = 350 * time.Millisecond
 	shortestWatch = time.Second
 	longestWatch  = 28 * time.Second
+	// aloneWatch is the mean wait of an instance that watches while its readers are away. Nobody tells it that its watch hears
+	// of nothing, so that it has to find out soon.
+	aloneWatch = 1500 * time.Millisecond
 )
 
 // Message tells the revision up to which an instance knows the store.
@@ -32,8 +35,8 @@
 	Revision catalog.Revision
 }
 
-// WatchWait returns how long one of several instances watches the store before it asks again: about checkInterval for each
-// of them, spread by draw, a random number from 0 to 1, so that their watches end one after the other.
+// WatchWait returns how long one of several readers watches the store before it asks again: about checkInterval for each of
+// them, spread by draw, a random number from 0 to 1, so that their watches end one after the other.
 func WatchWait(watchers int, draw float64) time.Duration {
 	mean := float64(checkInterval) * float64(max(1, watchers))
 	return min(max(time.Duration(mean*(0.5+draw)), shortestWatch), longestWatch)
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -57,3 +58,27 @@
 		g.Expect(float64(n)/shortest.Seconds()).To(BeNumerically("<", 250), "calls/s of %d instances", n)
 	}
 }
+
+// Guards against an instance that watches alone and learns late that its watch hears of nothing: only readers are told by
+// others. The bound is the shortest time in which a departure must be in force, 2.5 s.
+func TestInstanceThatWatchesAloneAsksAgainSoon(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(100, "north", "south")
+	readers := Readers(v, "north-0", "north")
+	for _, p := range v.Peers {
+		if p.Region == "north" && groupOf(p.Name, groupCount(v, "north")) == groupOf("north-0", groupCount(v, "north")) &&
+			!IsReader(p.Name, readers) {
+			g.Expect(NextWatch(v, p.Name, "north", 0.999)).To(BeNumerically("<", 2500*time.Millisecond))
+		}
+	}
+	g.Expect(NextWatch(&catalog.View{}, "north-0", "north", 0.999)).To(BeNumerically("<", 2500*time.Millisecond), "knows nobody yet")
+}
+
+// Guards against trust that lasts longer than a change may stay unknown.
+func TestTrustEndsWithTheAgeOfTheKnowledge(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(TrustFor(0)).To(Equal(TrustAge))
+	g.Expect(TrustFor(ContactAge)).To(Equal(TrustAge - ContactAge))
+	g.Expect(TrustFor(time.Hour)).To(BeZero())
+	g.Expect(TrustFor(-time.Hour)).To(Equal(TrustAge), "an age below zero is not possible")
+}
--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -18,16 +18,21 @@
 	ReadersPerGroup = 2
 	// groupSize bounds the instances that a reader relays to, in the mean.
 	groupSize = 48
-	// RelayInterval is the time between two messages of a reader without changes.
-	RelayInterval = 800 * time.Millisecond
-	// RelaySilence is how long a reader may be silent before it is no longer trusted: one message lost. The store's answer
-	// that follows is in time for changes that must be in force within 2.5 s.
-	RelaySilence = 1800 * time.Millisecond
-	// ContactAge is how long ago the store must have answered a reader for it to be trusted. The renewal of its lease is due
-	// before that. With the watch that follows it keeps a change from staying unknown for two seconds.
+	// ReviewInterval is the time between two looks at who the readers are.
+	ReviewInterval = 800 * time.Millisecond
+	// ContactAge is how long ago the store must have answered a reader for it to relay. The renewal of its lease is due before
+	// that, and each answer of the store is passed on.
 	ContactAge = 1500 * time.Millisecond
+	// TrustAge is how long ago the store must have answered a reader for an instance to trust its relay; beyond ContactAge it
+	// leaves time for the way. The instance then watches the store, which is in time for changes that must be in force within
+	// 2.5 s.
+	TrustAge = 1700 * time.Millisecond
 )
 
+// TrustFor returns how much longer an instance trusts a reader that the store answered the given time ago: not at all when
+// that is too long.
+func TrustFor(age time.Duration) time.Duration { return max(0, TrustAge-max(0, age)) }
+
 // Readers returns the readers of the instance's group: those that come first by a hash of their names, in different failure
 // domains where the group has several. An instance that is not listed is in a group, too, and never a reader.
 func Readers(v *catalog.View, self state.InstanceName, region state.RegionName) []routing.Peer {
@@ -50,13 +55,12 @@
 	return out
 }
 
-// Watchers returns the number of instances whose watches are to end one after the other: the readers of the fleet for one
-// of them, and all instances for one that watches while its readers are away.
-func Watchers(v *catalog.View, self state.InstanceName, region state.RegionName) int {
+// NextWatch returns how long the instance's next watch of the store is to wait, spread by draw, a random number from 0 to 1.
+func NextWatch(v *catalog.View, self state.InstanceName, region state.RegionName, draw float64) time.Duration {
 	if IsReader(self, Readers(v, self, region)) {
-		return readerCount(v)
+		return WatchWait(readerCount(v), draw)
 	}
-	return len(v.Peers)
+	return time.Duration(float64(aloneWatch) * (0.5 + draw))
 }
 
 // readerCount returns the number of readers of the fleet.
--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -21,12 +22,14 @@
 type Facts struct {
 	After    catalog.Revision // 0 for the whole content; otherwise Items are the changes after this revision
 	Revision catalog.Revision // up to which the instance knows the store
+	Age      time.Duration    // since the store last answered the instance
 	Items    []catalog.Item
 }
 
 type frame struct {
 	After    catalog.Revision `cbor:",omitempty"`
 	Revision catalog.Revision
+	Age      time.Duration `cbor:",omitempty"`
 	Items    []itemFrame
 }
 
@@ -43,7 +46,7 @@
 
 // Encode returns the encoded facts, signed with the fleet's key when there is one.
 func Encode(key []byte, facts *Facts) ([]byte, error) {
-	f := frame{After: facts.After, Revision: facts.Revision}
+	f := frame{After: facts.After, Revision: facts.Revision, Age: facts.Age}
 	for _, it := range facts.Items {
 		out := itemFrame{Key: it.Key}
 		switch fact := it.Fact.(type) {
@@ -81,7 +84,7 @@
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode facts")
 	}
-	out := &Facts{After: f.After, Revision: f.Revision}
+	out := &Facts{After: f.After, Revision: f.Revision, Age: f.Age}
 	for _, it := range f.Items {
 		fact, err := it.fact()
 		if err != nil {
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -29,6 +29,9 @@
 	behindTime = settle + 150*time.Millisecond
 )
 
+// errCovered ends a watch because the readers relay the changes.
+var errCovered = errors.New("readers relay the store's changes")
+
 // Reasons to list the store again.
 var (
 	errAsked  = errors.New("another instance knows a newer revision, or the store was away")
@@ -45,8 +48,8 @@
 type Relays interface {
 	// Covered reports whether the relays are complete, so that this instance need not watch the store.
 	Covered() bool
-	// Uncovered tells when that may have ended.
-	Uncovered() <-chan struct{}
+	// CoverChanged tells when that may have begun or ended.
+	CoverChanged() <-chan struct{}
 	// Deltas gives the relayed changes. A reader that has nothing new repeats its revision.
 	Deltas() <-chan *factwire.Facts
 }
@@ -191,6 +194,9 @@
 	call, cancel := context.WithTimeout(ctx, pause+watchSlack)
 	defer cancel()
 	items, at, err := f.interruptible(call, cancel, after, pause)
+	if errors.Is(err, errCovered) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -217,7 +223,7 @@
 			return nil
 		case <-f.relist:
 			return errAsked
-		case <-f.opts.Relays.Uncovered():
+		case <-f.opts.Relays.CoverChanged():
 			if !f.opts.Relays.Covered() {
 				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", uint64(f.Revision()))
 				return nil
@@ -237,29 +243,44 @@
 	}
 }
 
-// interruptible watches the store until it answers or a new listing is asked for.
+// interruptible watches the store until it answers, a new listing is asked for, or the readers relay its changes again: a watch
+// may wait on without hearing of any.
 func (f *Follower) interruptible(
 	ctx context.Context, cancel func(), after catalog.Revision, pause time.Duration,
 ) ([]catalog.Item, catalog.Revision, error) {
 	done := make(chan struct{})
-	asked := make(chan bool, 1)
+	interrupted := make(chan error, 1)
 	go func() {
-		select {
-		case <-f.relist:
+		why := f.interruption(done)
+		if why != nil {
 			cancel()
-			asked <- true
-		case <-done:
-			asked <- false
 		}
+		interrupted <- why
 	}()
 	items, at, err := f.opts.Store.Watch(ctx, after, pause)
 	close(done)
-	if <-asked {
-		return nil, 0, errAsked
+	if why := <-interrupted; why != nil {
+		return nil, 0, why
 	}
 	return items, at, err
 }
 
+// interruption waits for a reason to end the watch under way, and returns nil when done is closed first.
+func (f *Follower) interruption(done <-chan struct{}) error {
+	for {
+		select {
+		case <-f.relist:
+			return errAsked
+		case <-f.opts.Relays.CoverChanged():
+			if f.opts.Relays.Covered() {
+				return errCovered
+			}
+		case <-done:
+			return nil
+		}
+	}
+}
+
 func (f *Follower) fail(ctx context.Context, err error) {
 	f.Stats.Failures.Add(1)
 	if ctx.Err() != nil {
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -117,19 +117,19 @@
 
 // fakeRelays are readers that a test speaks for.
 type fakeRelays struct {
-	covered   atomic.Bool
-	uncovered chan struct{}
-	deltas    chan *factwire.Facts
+	covered atomic.Bool
+	changed chan struct{}
+	deltas  chan *factwire.Facts
 }
 
 func newRelays(covered bool) *fakeRelays {
-	r := &fakeRelays{uncovered: make(chan struct{}, 1), deltas: make(chan *factwire.Facts, 8)}
+	r := &fakeRelays{changed: make(chan struct{}, 1), deltas: make(chan *factwire.Facts, 8)}
 	r.covered.Store(covered)
 	return r
 }
 
 func (r *fakeRelays) Covered() bool                  { return r.covered.Load() }
-func (r *fakeRelays) Uncovered() <-chan struct{}     { return r.uncovered }
+func (r *fakeRelays) CoverChanged() <-chan struct{}  { return r.changed }
 func (r *fakeRelays) Deltas() <-chan *factwire.Facts { return r.deltas }
 
 func startFollower(t *testing.T, s *fakeStore, to Teller) *Follower {
@@ -295,10 +295,10 @@
 	f := startRelayed(t, s, discard{}, relays)
 	relays.deltas <- &factwire.Facts{After: 7, Revision: 9}
 	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(9)))
-	relays.uncovered <- struct{}{}
+	relays.changed <- struct{}{}
 	g.Consistently(watched, 3*behindTime).ShouldNot(Receive())
 	relays.covered.Store(false)
-	relays.uncovered <- struct{}{}
+	relays.changed <- struct{}{}
 	g.Eventually(watched, patience).Should(Receive(Equal(catalog.Revision(9))))
 }
 
@@ -317,3 +317,18 @@
 	f.Relist()
 	g.Eventually(asked, patience).Should(Receive(Equal(catalog.Revision(7))))
 }
+
+// Guards against an instance whose own watch hears of nothing, and that looks at its readers only when the watch ends.
+func TestOwnWatchEndsWhenReadersRelayAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	relays := newRelays(false)
+	f := startRelayed(t, s, discard{}, relays)
+	g.Eventually(f.Stats.Watches.Load, patience).Should(Equal(uint64(1)))
+	relays.covered.Store(true)
+	relays.changed <- struct{}{}
+	relays.deltas <- &factwire.Facts{After: 7, Revision: 9}
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(9)))
+	lists, _ := s.counts()
+	g.Expect(lists).To(Equal(1))
+}
--- a/transport/peers/relay.go
+++ b/transport/peers/relay.go
@@ -11,7 +11,6 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
-	"azurebridge/internal/wait"
 	"azurebridge/protocol/factwire"
 	"azurebridge/state"
 )
@@ -23,13 +22,20 @@
 	maxRelayQueue = 16
 )
 
+// Contact tells when the store last answered this instance.
+type Contact interface {
+	Age() time.Duration
+	// Marked tells that the store has answered.
+	Marked() <-chan struct{}
+}
+
 // RelayOptions are the inputs of a Relay.
 type RelayOptions struct {
 	Self     state.InstanceName
 	Region   state.RegionName
 	Loop     *catalog.Loop
 	Revision func() catalog.Revision // up to which this instance knows the store
-	InTouch  func() bool             // whether the store has answered this instance lately
+	Contact  Contact
 	Log      hclog.Logger
 }
 
@@ -59,26 +65,36 @@
 	return &Relay{opts: opts, streams: make(map[*stream]struct{})}
 }
 
-// Run tells the instances of the group regularly that the reader knows the store, until ctx ends.
+// Run tells the instances of the group of each answer of the store, and ends their streams when they must not trust this one
+// any more, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	wait.Each(ctx, gossip.RelayInterval, r.repeat)
-	r.endAll()
+	review := time.NewTicker(gossip.ReviewInterval)
+	defer review.Stop()
+	defer r.endAll()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.opts.Contact.Marked():
+			r.Publish(r.nothingNew())
+		case <-review.C:
+			if !r.serving() {
+				r.endAll()
+			}
+		}
+	}
 }
 
-// repeat sends the revision again, or ends the streams when other instances must not trust this one.
-func (r *Relay) repeat() {
-	if !r.serving() {
-		r.endAll()
-		return
-	}
+// nothingNew is the message that the store has answered without changes.
+func (r *Relay) nothingNew() *factwire.Facts {
 	revision := r.opts.Revision()
-	r.Publish(&factwire.Facts{After: revision, Revision: revision})
+	return &factwire.Facts{After: revision, Revision: revision}
 }
 
 // serving reports whether other instances may trust this one.
 func (r *Relay) serving() bool {
 	v := r.opts.Loop.View()
-	return r.opts.InTouch() && !v.Stopping && len(v.FleetKey) > 0 &&
+	return r.opts.Contact.Age() <= gossip.ContactAge && !v.Stopping && len(v.FleetKey) > 0 &&
 		gossip.IsReader(r.opts.Self, gossip.Readers(v, r.opts.Self, r.opts.Region))
 }
 
@@ -89,13 +105,10 @@
 	if len(r.streams) == 0 {
 		return
 	}
-	message, err := factwire.Encode(r.opts.Loop.View().FleetKey, facts)
-	if err != nil {
-		r.Stats.Encoding.Add(1)
-		r.opts.Log.Error("changes not relayed", "revision", uint64(facts.Revision), "error", err.Error())
+	message := r.encode(facts)
+	if message == nil {
 		return
 	}
-	message = factwire.AppendMessage(nil, message)
 	for s := range r.streams {
 		select {
 		case s.messages <- message:
@@ -107,6 +120,19 @@
 	}
 }
 
+// encode returns the message with the age of what it says, or nothing for one that cannot be encoded.
+func (r *Relay) encode(facts *factwire.Facts) []byte {
+	aged := *facts
+	aged.Age = r.opts.Contact.Age()
+	message, err := factwire.Encode(r.opts.Loop.View().FleetKey, &aged)
+	if err != nil {
+		r.Stats.Encoding.Add(1)
+		r.opts.Log.Error("changes not relayed", "revision", uint64(facts.Revision), "error", err.Error())
+		return nil
+	}
+	return factwire.AppendMessage(nil, message)
+}
+
 // end ends a stream. r.mu is held on entry.
 func (r *Relay) end(s *stream) {
 	if _, ok := r.streams[s]; ok {
@@ -132,6 +158,7 @@
 	s := &stream{messages: make(chan []byte, maxRelayQueue)}
 	r.mu.Lock()
 	r.streams[s] = struct{}{}
+	s.messages <- r.encode(r.nothingNew()) // there is room
 	r.mu.Unlock()
 	r.Stats.Streams.Add(1)
 	defer func() {
@@ -157,7 +184,7 @@
 }
 
 func write(out *http.ResponseController, w http.ResponseWriter, message []byte) error {
-	if err := out.SetWriteDeadline(time.Now().Add(gossip.RelaySilence)); err != nil {
+	if err := out.SetWriteDeadline(time.Now().Add(gossip.TrustAge)); err != nil {
 		return err
 	}
 	if _, err := w.Write(message); err != nil {
--- a/transport/peers/relay_test.go
+++ b/transport/peers/relay_test.go
@@ -15,9 +15,11 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/internal/wait"
 	"azurebridge/protocol/factwire"
 	"azurebridge/state"
 	"azurebridge/state/routing"
+	"azurebridge/transport/metastore"
 )
 
 // patience is how long a test waits for something that happens within seconds.
@@ -30,13 +32,23 @@
 	listener *Subscriber
 }
 
-// reader is a reader whose knowledge a test sets.
+// answerInterval is the time between answers of the store to a reader.
+const answerInterval = 200 * time.Millisecond
+
+// reader is a reader whose knowledge a test sets. The store answers it regularly unless it is away.
 type reader struct {
 	relay    *Relay
-	inTouch  atomic.Bool
+	contact  *metastore.Contact
+	away     atomic.Bool
 	revision atomic.Uint64
 }
 
+func (rd *reader) askStore() {
+	if !rd.away.Load() {
+		rd.contact.Mark()
+	}
+}
+
 func newLoop(t *testing.T, ctx context.Context, items []catalog.Item) *catalog.Loop {
 	t.Helper()
 	l := catalog.NewLoop(catalog.NewCore(catalog.Options{}), state.MonotonicClock(), func(catalog.Note) {})
@@ -52,8 +64,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var addresses []string
 	for range gossip.ReadersPerGroup {
-		rd := &reader{}
-		rd.inTouch.Store(true)
+		rd := &reader{contact: metastore.NewContact(state.MonotonicClock())}
+		rd.askStore()
 		rd.revision.Store(5)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			rd.relay.ServeHTTP(&tampered{ResponseWriter: w, change: tamper}, r)
@@ -70,10 +82,11 @@
 	g.Eventually(func() int { return len(loop.View().Peers) }, patience).Should(Equal(2))
 	for i, rd := range g.readers {
 		rd.relay = NewRelay(RelayOptions{
-			Self: loop.View().Peers[i].Name, Region: "north", Loop: loop, Revision: rd.known, InTouch: rd.inTouch.Load,
+			Self: loop.View().Peers[i].Name, Region: "north", Loop: loop, Revision: rd.known, Contact: rd.contact,
 			Log: hclog.NewNullLogger(),
 		})
 		go rd.relay.Run(ctx)
+		go wait.Each(ctx, answerInterval, rd.askStore)
 	}
 	g.listener = NewSubscriber(SubscriberOptions{Self: "front-3", Region: "north", Loop: loop, Log: hclog.NewNullLogger()})
 	go g.listener.Run(ctx)
@@ -105,19 +118,41 @@
 	g.Eventually(g.listener.Covered, patience).Should(BeTrue())
 	change := &factwire.Facts{After: 5, Revision: 6, Items: []catalog.Item{{Key: "north-a", Fact: catalog.Evacuation{Domain: "north-a"}}, {Key: "gone"}}}
 	g.readers[0].relay.Publish(change)
-	g.Eventually(g.listener.Deltas(), patience).Should(Receive(Equal(change)))
+	content := func(f *factwire.Facts) factwire.Facts { return factwire.Facts{After: f.After, Revision: f.Revision, Items: f.Items} }
+	g.Eventually(g.listener.Deltas(), patience).Should(Receive(WithTransform(content, Equal(*change))))
 }
 
 // Guards against an instance that goes on to trust a reader which the store no longer answers.
 func TestReaderWithoutTheStoreIsNotTrusted(t *testing.T) {
 	g := newRegion(t, unchanged)
 	g.Eventually(g.listener.Covered, patience).Should(BeTrue())
-	g.readers[1].inTouch.Store(false)
+	g.readers[1].away.Store(true)
 	g.Eventually(g.listener.Covered, patience).Should(BeFalse())
-	g.Eventually(g.listener.Uncovered(), patience).Should(Receive())
-	g.Consistently(g.listener.Covered, 2*gossip.RelayInterval).Should(BeFalse())
-	g.readers[1].inTouch.Store(true)
+	g.Eventually(g.listener.CoverChanged(), patience).Should(Receive())
+	g.Consistently(g.listener.Covered, 2*gossip.ReviewInterval).Should(BeFalse())
+	g.readers[1].away.Store(false)
+	g.Eventually(g.listener.Covered, patience).Should(BeTrue())
+}
+
+// Guards against knowledge that grows old on its way: what a reader relays is trusted by the age of the store's last answer
+// to the reader, not by the time at which it arrives.
+func TestOldKnowledgeOfAReaderIsNotTrusted(t *testing.T) {
+	var tooOld atomic.Bool
+	key := []byte("the key of the fleet")
+	g := newRegion(t, func(p []byte) []byte {
+		if !tooOld.Load() {
+			return p
+		}
+		message, err := factwire.Encode(key, &factwire.Facts{After: 5, Revision: 5, Age: gossip.TrustAge})
+		if err != nil {
+			panic(err)
+		}
+		return factwire.AppendMessage(nil, message)
+	})
 	g.Eventually(g.listener.Covered, patience).Should(BeTrue())
+	tooOld.Store(true)
+	g.Eventually(g.listener.Covered, patience).Should(BeFalse())
+	g.Consistently(g.listener.Covered, 2*gossip.ReviewInterval).Should(BeFalse())
 }
 
 // Guards against an instance that trusts a reader from which nothing arrives any more.
--- a/transport/peers/subscriber.go
+++ b/transport/peers/subscriber.go
@@ -36,8 +36,8 @@
 	client http.Client
 	Stats  SubscriberStats
 
-	deltas    chan *factwire.Facts
-	uncovered chan struct{}
+	deltas  chan *factwire.Facts
+	changed chan struct{}
 
 	mu      sync.Mutex
 	streams map[state.InstanceName]*subscription // by reader
@@ -62,15 +62,15 @@
 	transport := &http.Transport{DialContext: backend.Dial, DisableCompression: true, DisableKeepAlives: true}
 	return &Subscriber{
 		opts: opts, client: http.Client{Transport: transport}, deltas: make(chan *factwire.Facts, maxDeltas),
-		uncovered: make(chan struct{}, 1), streams: make(map[state.InstanceName]*subscription),
+		changed: make(chan struct{}, 1), streams: make(map[state.InstanceName]*subscription),
 	}
 }
 
 // Deltas gives the relayed changes.
 func (s *Subscriber) Deltas() <-chan *factwire.Facts { return s.deltas }
 
-// Uncovered tells when Covered may have become false.
-func (s *Subscriber) Uncovered() <-chan struct{} { return s.uncovered }
+// CoverChanged tells when Covered may have changed.
+func (s *Subscriber) CoverChanged() <-chan struct{} { return s.changed }
 
 // Covered reports whether all readers of the group relay to this instance. It is false for a reader.
 func (s *Subscriber) Covered() bool {
@@ -97,7 +97,7 @@
 
 // Run keeps a stream from each reader until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
-	wait.Each(ctx, gossip.RelayInterval, func() { s.reconcile(ctx) })
+	wait.Each(ctx, gossip.ReviewInterval, func() { s.reconcile(ctx) })
 }
 
 // reconcile starts the streams that are missing and ends those from instances that are readers no more.
@@ -135,8 +135,8 @@
 }
 
 func (s *Subscriber) read(ctx context.Context, reader routing.Peer, st *subscription) error {
-	silence := time.AfterFunc(gossip.RelaySilence, st.cancel)
-	defer silence.Stop()
+	trust := time.AfterFunc(gossip.TrustAge, st.cancel)
+	defer trust.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.PeerAddress+relayPath, nil)
 	if err != nil {
 		return errors.Wrapf(err, "subscribe to %s", reader.Name)
@@ -154,12 +154,16 @@
 		if err != nil {
 			return errors.Wrapf(err, "stream of %s", reader.Name)
 		}
-		silence.Reset(gossip.RelaySilence)
 		facts, err := factwire.Decode(s.opts.Loop.View().FleetKey, message)
 		if err != nil {
 			s.Stats.Rejected.Add(1)
 			return errors.Wrapf(err, "stream of %s", reader.Name)
 		}
+		left := gossip.TrustFor(facts.Age)
+		if left == 0 {
+			return errors.Errorf("stream of %s: the store answered it %s ago", reader.Name, facts.Age)
+		}
+		trust.Reset(left)
 		s.deliver(facts, st)
 	}
 }
@@ -167,19 +171,23 @@
 // deliver passes changes to the follower without waiting.
 func (s *Subscriber) deliver(facts *factwire.Facts, st *subscription) {
 	s.Stats.Received.Add(1)
-	s.mu.Lock()
-	st.heard = true
-	s.mu.Unlock()
 	select {
 	case s.deltas <- facts:
 	default:
 		s.Stats.Missed.Add(1)
 	}
+	s.mu.Lock()
+	first := !st.heard
+	st.heard = true
+	s.mu.Unlock()
+	if first {
+		s.signal()
+	}
 }
 
 func (s *Subscriber) signal() {
 	select {
-	case s.uncovered <- struct{}{}:
+	case s.changed <- struct{}{}:
 	default: // already told
 	}
 }
