--- /dev/null
+++ b/transport/metastore/table_test.go
@@ -0,0 +1,54 @@
+package metastore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/catalog"
+	"azurebridge/protocol/factwire"
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// bigTable returns a routing table with n routes.
+func bigTable(version routing.Version, n int) *routing.Table {
+	t := &routing.Table{Version: version, Services: map[state.ServiceName]routing.Service{"svc": {}}}
+	for i := range n {
+		t.Routes = append(t.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%08x", i*2654435761), Host: fmt.Sprintf("host%d.example", i%7), Prefix: fmt.Sprintf("/p%08x/", i*40503),
+			Timeout: time.Second, MaxAttempts: 2, Parts: []routing.Part{{Service: "svc", Weight: 1}},
+		})
+	}
+	t.Index()
+	return t
+}
+
+// Guards against departures that wait behind a table on the link of a reader: a table of 1,400 routes that grew by one route
+// was relayed whole to each instance of the group. 48 instances share 10 Mbit/s, of which one message may take a tenth of
+// a second.
+func TestTableThatGrowsByOneRouteIsNotRelayedWhole(t *testing.T) {
+	const bound = 10e6 / 8 / 48 / 10 // bytes
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7}
+	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
+		if after > 8 {
+			return deaf(ctx, after)
+		}
+		return []catalog.Item{{Key: "table", Fact: bigTable(routing.Version(after), 1400+int(after))}}, after + 1, nil
+	}
+	published := make(chan *factwire.Facts, 8)
+	opts := options(s, discard{}, newRelays(false))
+	opts.Publish = func(f *factwire.Facts) { published <- f }
+	run(t, opts)
+	g.Eventually(published, patience).Should(Receive(HaveField("Revision", catalog.Revision(7))), "the listing")
+	g.Eventually(published, patience).Should(Receive(HaveField("Revision", catalog.Revision(8))), "the first table")
+	var second *factwire.Facts
+	g.Eventually(published, patience).Should(Receive(&second))
+	message, err := factwire.Encode([]byte("key"), second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(message)).To(BeNumerically("<", bound))
+}
