metastore, routing: readers relay what has changed in a table, not the whole table

The departures behind it came seconds late.

A reader now relays a routing.TableChange from the table that it had; an instance that does not have that table lists the store.

--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -8,8 +8,9 @@
 	"azurebridge/state"
 )
 
-// Fact is what one item of the store says: *routing.Table, *routing.Backend, Evacuation, *routing.Peer or FleetKey. The ColdUntil of
-// a backend server is measured from zero and becomes an instant when the fact arrives.
+// Fact is what one item of the store says: *routing.Table, *routing.Backend, Evacuation, *routing.Peer or FleetKey. Between
+// instances a *routing.TableChange may stand for a table; the core gets tables only. The ColdUntil of a backend server is
+// measured from zero and becomes an instant when the fact arrives.
 type Fact any
 
 // Evacuation asks that the backend servers of a failure domain get no requests.
--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -36,12 +36,13 @@
 // itemFrame holds one of the kinds of facts, or says that the key is gone.
 type itemFrame struct {
 	Key        string
-	Gone       bool                `cbor:",omitempty"`
-	Table      *routing.Table      `cbor:",omitempty"`
-	Backend    *routing.Backend    `cbor:",omitempty"`
-	Evacuation *catalog.Evacuation `cbor:",omitempty"`
-	Peer       *routing.Peer       `cbor:",omitempty"`
-	FleetKey   catalog.FleetKey    `cbor:",omitempty"`
+	Gone       bool                 `cbor:",omitempty"`
+	Table      *routing.Table       `cbor:",omitempty"`
+	Change     *routing.TableChange `cbor:",omitempty"`
+	Backend    *routing.Backend     `cbor:",omitempty"`
+	Evacuation *catalog.Evacuation  `cbor:",omitempty"`
+	Peer       *routing.Peer        `cbor:",omitempty"`
+	FleetKey   catalog.FleetKey     `cbor:",omitempty"`
 }
 
 // Encode returns the encoded facts, signed with the fleet's key when there is one.
@@ -52,6 +53,8 @@
 		switch fact := it.Fact.(type) {
 		case *routing.Table:
 			out.Table = fact
+		case *routing.TableChange:
+			out.Change = fact
 		case *routing.Backend:
 			out.Backend = fact
 		case catalog.Evacuation:
@@ -129,6 +132,8 @@
 		}
 		it.Table.Index()
 		return it.Table, nil
+	case it.Change != nil:
+		return it.Change, nil
 	case it.Backend != nil:
 		return it.Backend, nil
 	case it.Evacuation != nil:
--- a/protocol/factwire/factwire_test.go
+++ b/protocol/factwire/factwire_test.go
@@ -24,12 +24,13 @@
 		}},
 	}
 	table.Index()
-	return &Facts{After: 6, Revision: 9, Items: []catalog.Item{
+	return &Facts{After: 6, Revision: 9, Age: time.Second, Items: []catalog.Item{
 		{Key: "config", Fact: table},
 		{Key: "server", Fact: &routing.Backend{Name: "s-1", Service: "search", Slots: 4, ColdUntil: state.Instant(time.Second)}},
 		{Key: "evacuation", Fact: catalog.Evacuation{Domain: "north-a"}},
 		{Key: "peer", Fact: &routing.Peer{Name: "front-1"}},
 		{Key: "key", Fact: catalog.FleetKey(key)},
+		{Key: "change", Fact: &routing.TableChange{From: 6, Version: 7, Routes: table.Routes, Removed: []string{"b"}, Services: table.Services}},
 		{Key: "gone"},
 	}}
 }
--- /dev/null
+++ b/state/routing/change.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"azurebridge/state"
+)
+
+// TableChange is what has changed from one version of a table to another. It keeps small changes of large tables small.
+type TableChange struct {
+	From     Version
+	Version  Version
+	Routes   []Route  // new or changed
+	Removed  []string // names of routes
+	Services map[state.ServiceName]Service
+	Limits   Limits
+}
+
+// Diff returns the change from one table to another.
+func Diff(from, to *Table) *TableChange {
+	c := &TableChange{From: from.Version, Version: to.Version, Services: to.Services, Limits: to.Limits}
+	old := byName(from.Routes)
+	for _, r := range to.Routes {
+		if before, ok := old[r.Name]; !ok || !sameRoute(before, r) {
+			c.Routes = append(c.Routes, r)
+		}
+		delete(old, r.Name)
+	}
+	c.Removed = slices.Sorted(maps.Keys(old))
+	return c
+}
+
+// Apply returns the table after the change. It fails when the change is from another version than the table's.
+func (c *TableChange) Apply(t *Table) (*Table, error) {
+	if t == nil || t.Version != c.From {
+		return nil, errors.Errorf("change from version %d of the routing table does not fit", c.From)
+	}
+	routes := byName(t.Routes)
+	for _, name := range c.Removed {
+		delete(routes, name)
+	}
+	for _, r := range c.Routes {
+		routes[r.Name] = r
+	}
+	out := &Table{Version: c.Version, Services: c.Services, Limits: c.Limits, Routes: slices.Collect(maps.Values(routes))}
+	if err := out.Validate(); err != nil {
+		return nil, err
+	}
+	out.Index()
+	return out, nil
+}
+
+func byName(routes []Route) map[string]Route {
+	out := make(map[string]Route, len(routes))
+	for _, r := range routes {
+		out[r.Name] = r
+	}
+	return out
+}
+
+// sameRoute compares what operators have written.
+func sameRoute(a, b Route) bool {
+	a.yields, b.yields = false, false
+	return reflect.DeepEqual(a, b)
+}
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -74,6 +74,7 @@
 	opts  FollowerOptions
 	Stats FollowerStats
 
+	tables tables
 	at     atomic.Uint64 // revision up to which this instance knows the store
 	relist chan struct{} // asks Run to list again
 }
@@ -167,6 +168,7 @@
 		return false
 	}
 	f.Stats.Asked.Add(1)
+	f.tables.learn(items)
 	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: at, Items: items})
 	f.at.Store(uint64(at))
 	return true
@@ -182,6 +184,7 @@
 	}
 	f.opts.Contact.Mark()
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
+	f.tables.learn(items)
 	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromListing, Revision: at, Items: items})
 	f.opts.Publish(&factwire.Facts{After: at, Revision: at})
 	f.at.Store(uint64(at))
@@ -207,7 +210,7 @@
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
 	if len(items) > 0 {
 		f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: at, Items: items})
-		f.opts.Publish(&factwire.Facts{After: after, Revision: at, Items: items})
+		f.opts.Publish(&factwire.Facts{After: after, Revision: at, Items: f.tables.abridge(items)})
 		f.at.Store(uint64(at))
 		wait.For(ctx, settle)
 	}
@@ -229,20 +232,33 @@
 				return nil
 			}
 		case d := <-f.opts.Relays.Deltas():
-			switch {
-			case d.Revision <= f.Revision():
-				continue
-			case d.After > f.Revision():
-				return errGap
+			if err := f.take(ctx, d); err != nil {
+				return err
 			}
-			f.Stats.Relayed.Add(1)
-			f.opts.To.Tell(ctx, catalog.StoreRegained{})
-			f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromReader, After: d.After, Revision: d.Revision, Items: d.Items})
-			f.at.Store(uint64(d.Revision))
 		}
 	}
 }
 
+// take applies what a reader has relayed. It fails when something before that is missing.
+func (f *Follower) take(ctx context.Context, d *factwire.Facts) error {
+	if d.Revision <= f.Revision() {
+		return nil
+	}
+	if d.After > f.Revision() {
+		return errGap
+	}
+	items, err := f.tables.expand(d.Items)
+	if err != nil {
+		f.opts.Log.Warn("relayed change of the routing table not applied", "error", err.Error())
+		return errGap
+	}
+	f.Stats.Relayed.Add(1)
+	f.opts.To.Tell(ctx, catalog.StoreRegained{})
+	f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromReader, After: d.After, Revision: d.Revision, Items: items})
+	f.at.Store(uint64(d.Revision))
+	return nil
+}
+
 // interruptible watches the store until it answers, a new listing is asked for, or the readers relay its changes again: a watch
 // may wait on without hearing of any.
 func (f *Follower) interruptible(
--- a/transport/metastore/table_test.go
+++ b/transport/metastore/table_test.go
@@ -52,3 +52,24 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(message)).To(BeNumerically("<", bound))
 }
+
+// Guards against an instance that serves by a wrong table when a relayed change does not fit the one that it has: it must
+// list the store.
+func TestChangeOfAnUnknownTableLeadsToAListing(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	events, relays := &recorded{}, newRelays(true)
+	startRelayed(t, s, events, relays)
+	relays.deltas <- &factwire.Facts{After: 7, Revision: 8, Items: []catalog.Item{{Key: "table", Fact: bigTable(3, 2)}}}
+	fits := routing.Diff(bigTable(3, 2), bigTable(4, 3))
+	relays.deltas <- &factwire.Facts{After: 8, Revision: 9, Items: []catalog.Item{{Key: "table", Fact: fits}}}
+	relays.deltas <- &factwire.Facts{After: 9, Revision: 10, Items: []catalog.Item{{Key: "table", Fact: fits}}}
+	g.Eventually(func() int { n, _ := s.counts(); return n }, patience).Should(Equal(2))
+	var versions []routing.Version
+	for _, ev := range events.all() {
+		if c, ok := ev.(catalog.Changed); ok {
+			versions = append(versions, c.Items[0].Fact.(*routing.Table).Version)
+		}
+	}
+	g.Expect(versions).To(Equal([]routing.Version{3, 4}))
+}
