gossip: readers are the instances with the widest links

Instances tell the bandwidth of their link, from their settings, in their entries; readers are the first by it, then by hash, in different failure domains. TestReadersHaveTheWidestLinks is new.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -104,7 +104,7 @@
 	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.Note) { p.log.Info(n.Message, n.Fields...) })
 	self := routing.Peer{
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
-		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(),
+		CallersAddress: cfg.Callers.String(), PeerAddress: cfg.Peers.String(), LinkMbps: int(cfg.Limits.LinkMbps),
 	}
 	p.wireStore(self)
 	p.pool = backendconn.NewPool(backend.Dial)
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -82,3 +82,18 @@
 	g.Expect(TrustFor(time.Hour)).To(BeZero())
 	g.Expect(TrustFor(-time.Hour)).To(Equal(TrustAge), "an age below zero is not possible")
 }
+
+// Guards against readers whose links are so narrow that what they relay reaches their group late.
+func TestReadersHaveTheWidestLinks(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(33, "north")
+	for i := range v.Peers {
+		v.Peers[i].Domain, v.Peers[i].LinkMbps = state.DomainName(fmt.Sprint(i%3)), 10
+	}
+	for _, i := range []int{9, 12, 20} { // 9 and 12 share a failure domain
+		v.Peers[i].LinkMbps = 200
+	}
+	readers := Readers(v, "north-0", "north")
+	g.Expect(readers).To(HaveEach(HaveField("LinkMbps", 200)))
+	g.Expect(readers[0].Domain).NotTo(Equal(readers[1].Domain))
+}
--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -33,8 +33,9 @@
 // that is too long.
 func TrustFor(age time.Duration) time.Duration { return max(0, TrustAge-max(0, age)) }
 
-// Readers returns the readers of the instance's group: those that come first by a hash of their names, in different failure
-// domains where the group has several. An instance that is not listed is in a group, too, and never a reader.
+// Readers returns the readers of the instance's group: those with the widest links, and among these the first by a hash of their
+// names, in different failure domains where the group has several. What one of them relays goes over its link once for each
+// other instance of the group. An instance that is not listed is in a group, too, and never a reader.
 func Readers(v *catalog.View, self state.InstanceName, region state.RegionName) []routing.Peer {
 	groups := groupCount(v, region)
 	return readersOf(v, region, groupOf(self, groups), groups)
@@ -95,7 +96,10 @@
 		}
 	}
 	slices.SortFunc(group, func(a, b routing.Peer) int {
-		return cmp.Compare(state.RendezvousScore("relay reader", string(a.Name)), state.RendezvousScore("relay reader", string(b.Name)))
+		return cmp.Or(
+			cmp.Compare(b.LinkMbps, a.LinkMbps),
+			cmp.Compare(state.RendezvousScore("relay reader", string(a.Name)), state.RendezvousScore("relay reader", string(b.Name))),
+		)
 	})
 	if len(group) > ReadersPerGroup {
 		other := slices.IndexFunc(group, func(p routing.Peer) bool { return p.Domain != group[0].Domain })
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -36,6 +36,7 @@
 	ColdFactor     float64 // of the rate that a cold backend server bears
 	ColdTolerance  float64 // requests/s besides
 	MemoryMegabyte int     // of the process
+	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
 }
 
 // Defaults and bounds of FrontLimits.
@@ -48,6 +49,7 @@
 	maxWindow          = time.Hour
 	maxFactor          = 1000
 	maxMemory          = 1 << 20
+	maxLink            = 1 << 20
 )
 
 // LoadFront reads the settings of azb-front.
@@ -89,6 +91,7 @@
 		ColdFactor:     s.Number("cold_factor", 1, 0, maxFactor),
 		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxRate),
 		MemoryMegabyte: s.Int("memory_mb", 0, 0, maxMemory),
+		LinkMbps:       s.Number("link_mbps", 0, 0, maxLink),
 	}
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -24,6 +24,7 @@
 address = 10.0.0.2:1
 [limits]
 memory_mb = 206
+link_mbps = 700.0
 stop_grace = 6s
 retry_ratio = 0.2
 retry_extra = 124
@@ -43,7 +44,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(cfg.Limits).To(Equal(FrontLimits{
 		StopGrace: 6 * time.Second, LookupTTL: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 124, RetryWindow: 10 * time.Second,
-		ColdFactor: 1.5, ColdTolerance: 5, MemoryMegabyte: 206,
+		ColdFactor: 1.5, ColdTolerance: 5, MemoryMegabyte: 206, LinkMbps: 700,
 	}))
 	g.Expect(cfg.Store.String()).To(Equal("10.0.0.2:1"))
 	g.Expect(cfg.Regions).To(HaveLen(1))
--- a/state/routing/backend.go
+++ b/state/routing/backend.go
@@ -24,4 +24,5 @@
 	Domain         state.DomainName
 	CallersAddress string // where callers connect
 	PeerAddress    string // UDP, for messages between instances
+	LinkMbps       int    // bandwidth of its link in Mbit/s; 0 if not known
 }
--- a/transport/peers/relay_test.go
+++ b/transport/peers/relay_test.go
@@ -118,7 +118,9 @@
 	g.Eventually(g.listener.Covered, patience).Should(BeTrue())
 	change := &factwire.Facts{After: 5, Revision: 6, Items: []catalog.Item{{Key: "north-a", Fact: catalog.Evacuation{Domain: "north-a"}}, {Key: "gone"}}}
 	g.readers[0].relay.Publish(change)
-	content := func(f *factwire.Facts) factwire.Facts { return factwire.Facts{After: f.After, Revision: f.Revision, Items: f.Items} }
+	content := func(f *factwire.Facts) factwire.Facts {
+		return factwire.Facts{After: f.After, Revision: f.Revision, Items: f.Items}
+	}
 	g.Eventually(g.listener.Deltas(), patience).Should(Receive(WithTransform(content, Equal(*change))))
 }
 
