factwire: large facts are compressed between instances

A table of 1,400 routes shrinks to less than a quarter (test). What is decompressed is bounded by MaxSize.

--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -1,5 +1,5 @@
-// Package factwire encodes what an instance knows of the store for other instances, whole or as changes: CBOR, followed by
-// the signature of the fleet.
+// Package factwire encodes what an instance knows of the store for other instances, whole or as changes: CBOR, compressed
+// when it is large, followed by the signature of the fleet.
 package factwire
 
 import (
@@ -74,6 +74,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode facts")
 	}
+	data, err = pack(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress facts")
+	}
 	return gossipwire.Sign(key, data), nil
 }
 
@@ -83,6 +87,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decode facts")
 	}
+	data, err = unpack(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress facts")
+	}
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode facts")
--- a/protocol/factwire/factwire_test.go
+++ b/protocol/factwire/factwire_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/protocol/gossipwire"
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
@@ -110,3 +113,34 @@
 		}
 	})
 }
+
+// Guards against large tables that fill the links of readers, against facts that change when they are compressed, and against
+// data that grows without bound when it is decompressed.
+func TestLargeFactsAreCompressed(t *testing.T) {
+	g := NewWithT(t)
+	table := &routing.Table{Version: 7, Services: map[state.ServiceName]routing.Service{"search": {ColdRate: 5.6}}}
+	for i := range 1400 {
+		r := sample().Items[0].Fact.(*routing.Table).Routes[0]
+		r.Name, r.Prefix = fmt.Sprintf("r-%08x", i*2654435761), fmt.Sprintf("/%x/", i*40503)
+		table.Routes = append(table.Routes, r)
+	}
+	table.Index()
+	facts := &Facts{After: 6, Revision: 9, Items: []catalog.Item{{Key: "config", Fact: table}}}
+	data, err := Encode(key, facts)
+	g.Expect(err).NotTo(HaveOccurred())
+	plain, err := cbor.Marshal(table)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<", len(plain)/4))
+	got, err := Decode(key, data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(facts))
+
+	bomb, err := pack(make([]byte, MaxSize+1))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Decode(key, gossipwire.Sign(key, bomb))
+	g.Expect(err).To(MatchError(ContainSubstring("longer than")))
+	for _, data := range [][]byte{nil, {formDeflate}, {formDeflate, 1, 2}, {9, 1}} {
+		_, err = Decode(key, gossipwire.Sign(key, data))
+		g.Expect(err).To(HaveOccurred())
+	}
+}
