backendconn: bytes without end from a server are given up

A server in trouble may send bytes that are no answer until the caller closes. A body that is not the server's own was read and then kept for as long as the request.

The head is bounded by 64 KB, a foreign body and the body of an answer to another request by 1 MB; then the connection is closed and the request, if it may be repeated, goes to another server.

--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -64,6 +64,27 @@
 	}
 }
 
+// Guards against an instance that reads bytes which are no answer until its memory or the caller's time is used up.
+func TestBytesWithoutEndAreGivenUp(t *testing.T) {
+	for name, how := range map[string]standin.Behaviour{
+		"line": standin.EndlessLine, "head": standin.EndlessHead, "body": standin.EndlessBody, "stray body": standin.EndlessStray,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			first, _ := f.preferred()
+			first.Set(how)
+			a := f.read()
+			f.Expect(a.err).NotTo(HaveOccurred())
+			f.Expect(a.status).To(Equal(http.StatusOK), "a request that may be repeated goes to another server")
+			f.Expect(a.body).To(HaveSuffix(" to " + a.id))
+			a = f.write()
+			f.Expect(a.status).To(Equal(http.StatusBadGateway))
+			f.Expect(f.runs(a.id)).To(Equal(1))
+			f.Eventually(first.Left, patience).Should(Equal(2), "the connections are closed")
+		})
+	}
+}
+
 // Guards against "not run" for a request that has run, and against a refusal that does not say when to come back.
 func TestRefusalIsTrue(t *testing.T) {
 	f := newFixture(t, 2)
--- a/transport/backendconn/conn.go
+++ b/transport/backendconn/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,30 +11,60 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
-// Times of idle connections.
+// Times of idle connections, and bounds of what is read.
 const (
 	// defaultIdle is how long a connection is kept whose server names no timeout.
 	defaultIdle = 4 * time.Second
 	// idleMargin is how much earlier than the server's timeout a connection is given up, for the time on the way.
 	idleMargin = 1500 * time.Millisecond
+	// maxHead bounds the head of an answer, in bytes: a server in trouble may send bytes without end.
+	maxHead = 64 << 10
 	// readBuffer is the size of a connection's read buffer, in bytes. Most answers fit.
 	readBuffer = 4 << 10
 )
 
+// errHeadTooLarge says that the head of an answer has no end within maxHead.
+var errHeadTooLarge = errors.Errorf("head of the answer is longer than %d bytes", maxHead)
+
 // conn is one connection to a backend server. One goroutine at a time uses it.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	idle   time.Duration // how long the server keeps it idle
-	since  time.Time     // when it became idle; its monotonic reading is used
-	used   bool          // whether it has carried a whole exchange
+	reader *bufio.Reader  // of the bounded bytes
+	bound  *boundedReader // between the connection and reader
+	idle   time.Duration  // how long the server keeps it idle
+	since  time.Time      // when it became idle; its monotonic reading is used
+	used   bool           // whether it has carried a whole exchange
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), idle: defaultIdle}
+	bound := &boundedReader{Reader: c, left: math.MaxInt64}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, idle: defaultIdle}
+}
+
+// readResponse reads the head of an answer, which may have up to maxHead bytes besides those that are buffered.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.bound.left = maxHead
+	defer func() { c.bound.left = math.MaxInt64 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
+// boundedReader fails once the bytes that are left have been read.
+type boundedReader struct {
+	io.Reader
+	left int64
+}
+
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.Reader.Read(b[:min(int64(len(b)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // learnIdle takes the idle timeout from an answer.
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -147,6 +147,9 @@
 	if err != nil {
 		return nil, x.fail("read answer of", true, err)
 	}
+	if len(body) > MaxBuffered && !marks.Signed {
+		return nil, x.fail("read answer of", true, errors.New("the body is long and not the server's own"))
+	}
 	a.Body = body
 	if len(body) > MaxBuffered {
 		a.Rest = &restReader{x: x, resp: resp}
@@ -209,7 +212,7 @@
 		method = http.MethodHead
 	}
 	for range maxStrays {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		resp, err := x.conn.readResponse(method)
 		if err != nil {
 			return nil, Marks{}, x.fail("read answer of", true, err)
 		}
@@ -221,7 +224,7 @@
 			return resp, marks, nil
 		}
 		x.pool.Stats.Strays.Add(1)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxBuffered+1)); err != nil || n > MaxBuffered || resp.Close {
 			return nil, Marks{}, x.fail("pass over a stray answer of", true, errors.Errorf("for request %s", marks.RequestID))
 		}
 	}
