catalog: a flood of observations does not hold up the view

While requests end faster than their outcomes are handled, the queue is never empty, and no departure comes into force. It now publishes after the events that waited when it began.

--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -92,14 +92,10 @@
 	}
 }
 
-// drain handles the events that wait already, so that they make one view.
+// drain handles the events that wait already, so that they make one view. Those that arrive meanwhile make the next one:
+// under a flood of them nothing would be published.
 func (l *Loop) drain() {
-	for {
-		select {
-		case ev := <-l.queue:
-			l.core.Step(l.clock(), ev)
-		default:
-			return
-		}
+	for range len(l.queue) {
+		l.core.Step(l.clock(), <-l.queue)
 	}
 }
