metastore: a silent store does not keep an instance from asking others

Now others are asked once the store has given no sign of itself for 1.7 s, while the watch goes on, and before a listing; up to three in turn, because some of them may be turned away, too. Facts are passed on under the context of the process: under that of a call they could be lost while their revision was kept.

TestSilentStoreLeadsToQuestionsDuringTheWatch fails without it (tried); TestOthersAreAskedBeforeASilentStoreIsListed is new.

--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// Tell passes an event and waits for room in the queue. It is for the goroutines that follow the store, which lose
-// nothing by waiting.
+// Tell passes an event and waits for room in the queue, or until ctx ends. It is for the goroutines that follow the store, which
+// lose nothing by waiting; ctx must be that of the process, not of a call, or facts are lost.
 func (l *Loop) Tell(ctx context.Context, ev Event) {
 	select {
 	case l.queue <- ev:
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/gossip"
 	"azurebridge/internal/wait"
 	"azurebridge/protocol/factwire"
 )
@@ -24,6 +26,12 @@
 	// firstBackoff and longestBackoff space the calls to a store that does not answer. Refused calls are counted, too.
 	firstBackoff   = 200 * time.Millisecond
 	longestBackoff = 500 * time.Millisecond
+	// askInterval is the time between questions to other instances while the store gives no sign of itself.
+	askInterval = 500 * time.Millisecond
+	// askTries bounds the instances that are asked in turn: some of them may be turned away by the store, too.
+	askTries = 3
+	// askTimeout bounds the questions in turn.
+	askTimeout = 800 * time.Millisecond
 	// behindTime is how long another instance may know a newer revision before the follower lists again: mostly the watch
 	// brings it meanwhile, once the pause after earlier changes is over.
 	behindTime = settle + 150*time.Millisecond
@@ -60,8 +68,8 @@
 	To    Teller
 	Wait  func() time.Duration            // how long the next watch waits for changes
 	Tell  func(revision catalog.Revision) // told when a listing may have brought more than the watches of others
-	// Ask returns what another instance knows after a revision, and false when it knows nothing more. It is called while the
-	// store does not answer.
+	// Ask returns what one other instance knows after a revision, and false when it knows nothing more or does not answer. It
+	// is called while the store does not answer.
 	Ask     func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool)
 	Relays  Relays
 	Publish func(*factwire.Facts) // told what a call to the store has brought
@@ -126,6 +134,9 @@
 	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
+		if !listed && f.Revision() > 0 && f.doubtful() {
+			listed = f.ask(ctx) // a listing may wait for seconds before it fails
+		}
 		switch {
 		case !listed:
 			err = f.list(ctx)
@@ -161,24 +172,32 @@
 	}
 }
 
-// ask takes what another instance knows. It returns false when that is not newer.
+// doubtful reports whether the store has given no sign of itself for so long that changes may be missing.
+func (f *Follower) doubtful() bool { return gossip.TrustFor(f.opts.Contact.Age()) == 0 }
+
+// ask takes what another instance knows. It returns false when none of those that were asked knows anything newer.
 func (f *Follower) ask(ctx context.Context) bool {
-	items, at, ok := f.opts.Ask(ctx, f.Revision())
-	if !ok || at <= f.Revision() {
-		return false
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for range askTries {
+		items, at, ok := f.opts.Ask(call, f.Revision())
+		if !ok || at <= f.Revision() {
+			continue
+		}
+		f.Stats.Asked.Add(1)
+		f.tables.learn(items)
+		f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: at, Items: items})
+		f.at.Store(uint64(at))
+		return true
 	}
-	f.Stats.Asked.Add(1)
-	f.tables.learn(items)
-	f.opts.To.Tell(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: at, Items: items})
-	f.at.Store(uint64(at))
-	return true
+	return false
 }
 
 func (f *Follower) list(ctx context.Context) error {
 	f.Stats.Lists.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, at, err := f.opts.Store.List(ctx)
+	items, at, err := f.opts.Store.List(call)
 	if err != nil {
 		return err
 	}
@@ -191,32 +210,69 @@
 	return nil
 }
 
+// answer is what a watch has brought.
+type answer struct {
+	items []catalog.Item
+	at    catalog.Revision
+	err   error
+}
+
+// watch passes on the changes that one call to the store brings.
 func (f *Follower) watch(ctx context.Context) error {
 	f.Stats.Watches.Add(1)
 	after, pause := f.Revision(), f.opts.Wait()
 	call, cancel := context.WithTimeout(ctx, pause+watchSlack)
 	defer cancel()
-	items, at, err := f.interruptible(call, cancel, after, pause)
-	if errors.Is(err, errCovered) {
+	answers := make(chan answer, 1)
+	go func() {
+		items, at, err := f.opts.Store.Watch(call, after, pause)
+		answers <- answer{items, at, err}
+	}()
+	a, err := f.await(ctx, answers)
+	switch {
+	case errors.Is(err, errCovered):
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
-	}
-	if len(items) == 0 && at > after {
+	case len(a.items) == 0 && a.at > after:
 		return errMissed
 	}
 	f.opts.Contact.Mark()
 	f.opts.To.Tell(ctx, catalog.StoreRegained{})
-	if len(items) > 0 {
-		f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: at, Items: items})
-		f.opts.Publish(&factwire.Facts{After: after, Revision: at, Items: f.tables.abridge(items)})
-		f.at.Store(uint64(at))
-		wait.For(ctx, settle)
+	if len(a.items) == 0 || a.at <= f.Revision() {
+		return nil
 	}
+	f.opts.To.Tell(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: a.at, Items: a.items})
+	f.opts.Publish(&factwire.Facts{After: after, Revision: a.at, Items: f.tables.abridge(a.items)})
+	f.at.Store(uint64(a.at))
+	wait.For(ctx, settle)
 	return nil
 }
 
+// await waits for the answer to a watch until a new listing is asked for or the readers relay the changes again: a watch may wait
+// on without hearing of any. While the store gives no sign of itself, other instances are asked for what they know.
+func (f *Follower) await(ctx context.Context, answers <-chan answer) (answer, error) {
+	doubt := time.NewTimer(gossip.TrustFor(f.opts.Contact.Age()))
+	defer doubt.Stop()
+	for {
+		select {
+		case a := <-answers:
+			return a, a.err
+		case <-f.relist:
+			return answer{}, errAsked
+		case <-f.opts.Relays.CoverChanged():
+			if f.opts.Relays.Covered() {
+				return answer{}, errCovered
+			}
+		case <-doubt.C:
+			if f.doubtful() {
+				f.ask(ctx)
+			}
+			doubt.Reset(cmp.Or(gossip.TrustFor(f.opts.Contact.Age()), askInterval))
+		}
+	}
+}
+
 // relayed takes changes from the readers until they no longer cover this instance.
 func (f *Follower) relayed(ctx context.Context) error {
 	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(f.Revision()))
@@ -259,44 +315,6 @@
 	return nil
 }
 
-// interruptible watches the store until it answers, a new listing is asked for, or the readers relay its changes again: a watch
-// may wait on without hearing of any.
-func (f *Follower) interruptible(
-	ctx context.Context, cancel func(), after catalog.Revision, pause time.Duration,
-) ([]catalog.Item, catalog.Revision, error) {
-	done := make(chan struct{})
-	interrupted := make(chan error, 1)
-	go func() {
-		why := f.interruption(done)
-		if why != nil {
-			cancel()
-		}
-		interrupted <- why
-	}()
-	items, at, err := f.opts.Store.Watch(ctx, after, pause)
-	close(done)
-	if why := <-interrupted; why != nil {
-		return nil, 0, why
-	}
-	return items, at, err
-}
-
-// interruption waits for a reason to end the watch under way, and returns nil when done is closed first.
-func (f *Follower) interruption(done <-chan struct{}) error {
-	for {
-		select {
-		case <-f.relist:
-			return errAsked
-		case <-f.opts.Relays.CoverChanged():
-			if f.opts.Relays.Covered() {
-				return errCovered
-			}
-		case <-done:
-			return nil
-		}
-	}
-}
-
 func (f *Follower) fail(ctx context.Context, err error) {
 	f.Stats.Failures.Add(1)
 	if ctx.Err() != nil {
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -332,3 +332,40 @@
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
 }
+
+// Guards against an instance that the store turns away silently, and that learns of a departure only when its watch is given
+// up: others know of it meanwhile, but not all of them.
+func TestSilentStoreLeadsToQuestionsDuringTheWatch(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	events := &recorded{}
+	opts := options(s, events, newRelays(false))
+	var asked atomic.Int32
+	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
+		if after >= 9 || asked.Add(1) < askTries {
+			return nil, 0, false
+		}
+		return []catalog.Item{{Key: "a", Fact: catalog.Evacuation{Domain: "north-a"}}}, 9, true
+	}
+	f := run(t, opts) // its watch waits for an hour
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(9)))
+	g.Expect(f.Stats.Watches.Load()).To(Equal(uint64(1)), "the call to the store goes on")
+	g.Expect(events.all()).To(ContainElement(HaveField("Source", catalog.FromInstance)))
+}
+
+// Guards against an instance that waits for a listing of a store which has gone silent, while others know what has changed.
+func TestOthersAreAskedBeforeASilentStoreIsListed(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	opts := options(s, discard{}, newRelays(true))
+	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
+		return nil, 9, after < 9
+	}
+	f := run(t, opts)
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(7)))
+	g.Eventually(f.doubtful, patience).Should(BeTrue())
+	f.Relist()
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(9)))
+	lists, _ := s.counts()
+	g.Expect(lists).To(Equal(1))
+}
