--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -304,7 +304,11 @@
 		return errGap
 	}
 	items, err := f.tables.expand(d.Items)
-	if err != nil {
+	switch {
+	case err != nil && d.After < f.Revision():
+		f.Newer(d.Revision) // the other reader has divided the changes differently, and is about to relay the rest
+		return nil
+	case err != nil:
 		f.opts.Log.Warn("relayed change of the routing table not applied", "error", err.Error())
 		return errGap
 	}
--- a/transport/metastore/table_test.go
+++ b/transport/metastore/table_test.go
@@ -73,3 +73,26 @@
 	}
 	g.Expect(versions).To(Equal([]routing.Version{3, 4}))
 }
+
+// Guards against listings of the store while two readers divide the same changes of the table differently: the change that
+// does not fit is passed over, and the other reader brings the rest.
+func TestOverlappingChangesOfATableNeedNoListing(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{revision: 7, watch: deaf}
+	relays := newRelays(true)
+	f := startRelayed(t, s, discard{}, relays)
+	change := func(after, revision catalog.Revision, from, to int) *factwire.Facts {
+		fact := routing.Diff(bigTable(routing.Version(from), from), bigTable(routing.Version(to), to))
+		return &factwire.Facts{After: after, Revision: revision, Items: []catalog.Item{{Key: "table", Fact: fact}}}
+	}
+	relays.deltas <- &factwire.Facts{After: 7, Revision: 8, Items: []catalog.Item{{Key: "table", Fact: bigTable(1, 1)}}}
+	relays.deltas <- change(8, 9, 1, 2)
+	relays.deltas <- change(8, 10, 1, 3) // of the other reader
+	relays.deltas <- change(9, 10, 2, 3)
+	g.Eventually(f.Revision, patience).Should(Equal(catalog.Revision(10)))
+	g.Consistently(func() int { n, _ := s.counts(); return n }, 2*behindTime).Should(Equal(1))
+
+	relays.deltas <- change(10, 11, 3, 4)
+	relays.deltas <- change(10, 12, 3, 5) // the rest never comes
+	g.Eventually(func() int { n, _ := s.counts(); return n }, patience).Should(Equal(2))
+}
