metastore: a relayed change to a known table does not hold up the departures behind it

When the other reader had brought the table already, the whole message was passed over, with the departures in it.

--- a/coordination/gossip/readers.go
+++ b/coordination/gossip/readers.go
@@ -29,8 +29,8 @@
 	TrustAge = 1700 * time.Millisecond
 )
 
-// TrustFor returns how much longer an instance trusts a reader that the store answered the given time ago: not at all when
-// that is too long.
+// TrustFor returns how much longer an instance is trusted to know of all changes when the store answered it the given time ago: not
+// at all when that is too long.
 func TrustFor(age time.Duration) time.Duration { return max(0, TrustAge-max(0, age)) }
 
 // Readers returns the readers of the instance's group: those with the widest links, and among these the first by a hash of their
--- a/transport/metastore/tables.go
+++ b/transport/metastore/tables.go
@@ -34,18 +34,22 @@
 	return out
 }
 
-// expand returns the items with the table in place of a change, and learns the table. It fails when the change is from a table
-// that this instance does not have.
+// expand returns the items with the table in place of a change, and learns the table. A change to a table that is known is left
+// out. It fails when a change is from a table that this instance does not have.
 func (t *tables) expand(items []catalog.Item) ([]catalog.Item, error) {
-	out := slices.Clone(items)
-	for i, it := range out {
+	var out []catalog.Item
+	for _, it := range items {
 		if change, ok := it.Fact.(*routing.TableChange); ok {
+			if t.last != nil && change.Version <= t.last.Version {
+				continue
+			}
 			table, err := change.Apply(t.last)
 			if err != nil {
 				return nil, err
 			}
-			out[i].Fact = table
+			it.Fact = table
 		}
+		out = append(out, it)
 	}
 	t.learn(out)
 	return out, nil
