--- a/cmd/azb-front/explain_test.go
+++ b/cmd/azb-front/explain_test.go
@@ -70,3 +70,21 @@
 	f.Expect(late).To(And(HaveKeyWithValue("server", "i-0"), HaveKeyWithValue("target_ms", 800.0), HaveKey("work_ms"), HaveKey("load")))
 	f.Expect(late["exchange_ms"]).To(BeNumerically(">=", 800))
 }
+
+// Guards against a departure whose way to this instance cannot be found in the log: docs/OPERATIONS.md, fourth walk.
+func TestLogExplainsALateDeparture(t *testing.T) {
+	f := newFixture(t, 1)
+	f.list(f.servers[0], "draining")
+	f.Eventually(f.usable, patience).Should(BeEmpty())
+	departures := func() []map[string]any {
+		var out []map[string]any
+		for _, line := range f.output.lines("backend server listed") {
+			if line["draining"] == true {
+				out = append(out, line)
+			}
+		}
+		return out
+	}
+	f.Eventually(departures, patience).Should(HaveLen(1))
+	f.Expect(departures()[0]).To(And(HaveKeyWithValue("server", "i-0"), HaveKey("revision"), HaveKeyWithValue("source", "watch")))
+}
