--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -221,9 +221,13 @@
 // grace returns how long servers that vanish in these changes stay in use: 0 unless so many vanish that leases seem to
 // have lapsed. A few that vanish have left, and the others can carry their load.
 func (c *Core) grace(now state.Instant, items []Item) time.Duration {
-	gone := 0
+	last := make(map[string]Fact, len(items)) // a server may go and come back in the same changes
 	for _, it := range items {
-		if m := c.servers[it.Key]; m != nil && it.Fact == nil && !m.Draining {
+		last[it.Key] = it.Fact
+	}
+	gone := 0
+	for key, fact := range last {
+		if m := c.servers[key]; m != nil && fact == nil && !m.Draining {
 			gone++
 		}
 	}
--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -248,3 +248,17 @@
 		g.Expect(c.View()).To(BeNil(), "an older state changes nothing")
 	}
 }
+
+// Guards against a server that stays in use after it has left, because its repeated departures in one set of changes were counted
+// like those of many servers whose leases have lapsed.
+func TestRepeatedDeparturesOfOneServerAreNoLapse(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{Items: servers(massLapseCount)})
+	var changes []Item
+	for range massLapseCount {
+		changes = append(changes, server(0), Item{Key: server(0).Key})
+	}
+	c.Step(testStart, Changed{Revision: 2, Items: changes})
+	g.Expect(names(c.View())).To(HaveLen(massLapseCount - 1))
+}
