--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -177,17 +177,22 @@
 	return answer{id, resp.StatusCode, resp.Header, string(data), err}
 }
 
-// stream sends a body without telling its length.
-func (f *fixture) stream(body []byte) answer {
-	r, err := http.NewRequest(http.MethodPost, "http://"+f.program.cfg.Callers.String()+standin.WritePath, io.MultiReader(bytes.NewReader(body)))
-	f.Expect(err).NotTo(HaveOccurred())
+// stream sends a request with a body whose length it does not tell.
+func (f *fixture) stream(id string, body io.Reader) answer {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.program.cfg.Callers.String()+standin.WritePath, io.MultiReader(body))
+	if err != nil {
+		return answer{id: id, err: err}
+	}
 	r.Host = standin.Host
+	for name, value := range standin.CallerHeaders(id, "7", "50000") {
+		r.Header.Set(name, value)
+	}
 	resp, err := f.client().Do(r)
 	if err != nil {
-		return answer{err: err}
+		return answer{id: id, err: err}
 	}
 	defer resp.Body.Close()
-	return answer{status: resp.StatusCode}
+	return answer{id: id, status: resp.StatusCode}
 }
 
 // read sends a request that may run more than once, write one that may not.
--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -268,7 +269,7 @@
 	f := newFixture(t, 1)
 	large := make([]byte, standin.MaxBody+1)
 	f.Expect(f.send(context.Background(), f.client(), http.MethodPost, "/write/a", string(large)).status).To(Equal(http.StatusRequestEntityTooLarge))
-	f.Expect(f.stream(large).status).NotTo(Equal(http.StatusOK), "a body without a length is counted")
+	f.Expect(f.stream("streamed", bytes.NewReader(large)).status).NotTo(Equal(http.StatusOK), "a body without a length is counted")
 	f.Expect(f.send(context.Background(), f.client(), http.MethodGet, "/other/", "").status).To(Equal(http.StatusNotFound))
 	f.Expect(f.servers[0].Runs()).To(BeEmpty())
 }
@@ -321,7 +322,7 @@
 	for _, s := range f.servers {
 		s.Set(standin.Shed)
 	}
-	f.Expect(f.stream(make([]byte, standin.MaxBody)).status).To(Equal(http.StatusServiceUnavailable))
+	f.Expect(f.stream("streamed", bytes.NewReader(make([]byte, standin.MaxBody))).status).To(Equal(http.StatusServiceUnavailable))
 	tries := f.program.pool.Stats.Opened.Load() + f.program.pool.Stats.Reused.Load()
 	f.Expect(tries).To(Equal(uint64(1)))
 }
