settings: accept decimal, large and zero limits of azb-front

Cause: the platform derives bounds from the size of a deployment.

Change: retry_extra and memory_mb are numbers; the upper bounds reject only figures that cannot be meant; a grace or retry window of 0 is accepted. All other numeric keys of azb-front were read for the same fault.

Result: TestFrontLimitsAcceptDerivedFigures: 14 of 20 lines fail with the code before, also those of whole numbers in the two fields whose type has changed; 0 now.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	if cfg.Limits.MemoryMegabyte > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMegabyte<<20) * memoryLimitFraction))
+		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMegabyte * (1 << 20) * memoryLimitFraction))
 	}
 	p, err := newProgram(cfg, path, os.Stdout)
 	if err != nil {
--- a/coordination/quota/retry.go
+++ b/coordination/quota/retry.go
@@ -12,7 +12,7 @@
 // RetryLimit bounds how often requests for one service are sent again, over all instances and in any span of Window.
 type RetryLimit struct {
 	Ratio  float64 // retries per request for the service
-	Extra  int     // additional retries, for all instances together
+	Extra  float64 // additional retries, for all instances together
 	Window time.Duration
 }
 
@@ -52,7 +52,7 @@
 	}
 	allowed := limit.Ratio * float64(requests)
 	if instances > 0 {
-		allowed += float64(limit.Extra) / float64(instances)
+		allowed += limit.Extra / float64(instances)
 	}
 	if float64(retries+1) > retrySafety*allowed {
 		return false
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -32,11 +32,11 @@
 	StopGrace      time.Duration // max time from the stop signal to the end of the process
 	LookupTTL      time.Duration // how long callers may cache a look-up
 	RetryRatio     float64       // retries per request for a service, in one window
-	RetryExtra     int           // retries in one window, in addition to RetryRatio
+	RetryExtra     float64       // retries in one window, in addition to RetryRatio
 	RetryWindow    time.Duration
 	ColdFactor     float64 // multiple of the service's ColdRate that a cold backend server may get
 	ColdTolerance  float64 // requests/s in addition to ColdFactor
-	MemoryMegabyte int     // memory of the process in MiB; 0 sets no limit
+	MemoryMegabyte float64 // memory of the process in MiB; 0 sets no limit
 	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
 }
 
@@ -46,11 +46,13 @@
 	defaultLookupTTL   = 2 * time.Second
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = 10 * time.Second
-	maxRetryExtra      = 1 << 20
-	maxRetryWindow     = time.Hour
-	maxColdRateFactor  = 1000
-	maxMemoryMegabyte  = 1 << 20
-	maxLinkMbps        = 1 << 20
+	minRetryWindow     = 10 * time.Millisecond
+	// maxShare, maxCount, maxMegabyte and maxMbps reject only values that cannot be meant: a platform may derive any other
+	// figure from the size of its deployment.
+	maxShare    = 1e6
+	maxCount    = 1e12
+	maxMegabyte = 1 << 30
+	maxMbps     = 1e9
 )
 
 // LoadFront reads the settings of azb-front.
@@ -84,15 +86,15 @@
 	}
 	s = f.Section("limits")
 	out.Limits = FrontLimits{
-		StopGrace:      s.Duration("stop_grace", defaultStopGrace, time.Second, maxDuration),
+		StopGrace:      s.Duration("stop_grace", defaultStopGrace, 0, maxDuration),
 		LookupTTL:      s.Duration("lookup_ttl", defaultLookupTTL, 0, maxDuration),
-		RetryRatio:     s.Number("retry_ratio", defaultRetryRatio, 0, 1),
-		RetryExtra:     s.Int("retry_extra", 0, 0, maxRetryExtra),
-		RetryWindow:    s.Duration("retry_window", defaultRetryWindow, time.Second, maxRetryWindow),
-		ColdFactor:     s.Number("cold_factor", 1, 0, maxColdRateFactor),
-		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxRate),
-		MemoryMegabyte: s.Int("memory_mb", 0, 0, maxMemoryMegabyte),
-		LinkMbps:       s.Number("link_mbps", 0, 0, maxLinkMbps),
+		RetryRatio:     s.Number("retry_ratio", defaultRetryRatio, 0, maxShare),
+		RetryExtra:     s.Number("retry_extra", 0, 0, maxCount),
+		RetryWindow:    max(minRetryWindow, s.Duration("retry_window", defaultRetryWindow, 0, maxDuration)),
+		ColdFactor:     s.Number("cold_factor", 1, 0, maxShare),
+		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxCount),
+		MemoryMegabyte: s.Number("memory_mb", 0, 0, maxMegabyte),
+		LinkMbps:       s.Number("link_mbps", 0, 0, maxMbps),
 	}
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,44 @@
 		g.Expect(err).To(MatchError(ContainSubstring(want)))
 	}
 }
+
+// Guards against an instance that ends at its start because the platform fills the template in with a figure that it has
+// derived from the size of the deployment, such as a decimal, a large one or zero, or leaves it out.
+func TestFrontLimitsAcceptDerivedFigures(t *testing.T) {
+	for _, c := range []struct {
+		line string
+		want func(*FrontLimits) any
+		is   any
+	}{
+		{"retry_extra = 30.714285714285715", func(l *FrontLimits) any { return l.RetryExtra }, 30.714285714285715},
+		{"retry_extra = 0", func(l *FrontLimits) any { return l.RetryExtra }, 0.0},
+		{"retry_extra = 12000000", func(l *FrontLimits) any { return l.RetryExtra }, 12e6},
+		{"", func(l *FrontLimits) any { return l.RetryExtra }, 0.0},
+		{"retry_ratio = 5e-05", func(l *FrontLimits) any { return l.RetryRatio }, 5e-5},
+		{"retry_ratio = 1.25", func(l *FrontLimits) any { return l.RetryRatio }, 1.25},
+		{"retry_ratio = 0", func(l *FrontLimits) any { return l.RetryRatio }, 0.0},
+		{"retry_window = 2.5s", func(l *FrontLimits) any { return l.RetryWindow }, 2500 * time.Millisecond},
+		{"retry_window = 7200s", func(l *FrontLimits) any { return l.RetryWindow }, 2 * time.Hour},
+		{"retry_window = 0s", func(l *FrontLimits) any { return l.RetryWindow }, minRetryWindow},
+		{"stop_grace = 0.5s", func(l *FrontLimits) any { return l.StopGrace }, 500 * time.Millisecond},
+		{"stop_grace = 0s", func(l *FrontLimits) any { return l.StopGrace }, time.Duration(0)},
+		{"cold_factor = 0.4285714285714286", func(l *FrontLimits) any { return l.ColdFactor }, 0.4285714285714286},
+		{"cold_factor = 5000", func(l *FrontLimits) any { return l.ColdFactor }, 5000.0},
+		{"cold_tolerance = 3.3333333333333335", func(l *FrontLimits) any { return l.ColdTolerance }, 3.3333333333333335},
+		{"cold_tolerance = 2000000", func(l *FrontLimits) any { return l.ColdTolerance }, 2e6},
+		{"memory_mb = 136.5", func(l *FrontLimits) any { return l.MemoryMegabyte }, 136.5},
+		{"memory_mb = 0", func(l *FrontLimits) any { return l.MemoryMegabyte }, 0.0},
+		{"link_mbps = 19.999999999999996", func(l *FrontLimits) any { return l.LinkMbps }, 19.999999999999996},
+		{"link_mbps = 4000000", func(l *FrontLimits) any { return l.LinkMbps }, 4e6},
+	} {
+		t.Run(c.line, func(t *testing.T) {
+			g := NewWithT(t)
+			start, end := strings.Index(frontFile, "memory_mb"), strings.Index(frontFile, "[domain")
+			f, err := inifile.Parse("front.ini", []byte(frontFile[:start]+c.line+"\n"+frontFile[end:]))
+			g.Expect(err).NotTo(HaveOccurred())
+			cfg, err := parseFront(f)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(c.want(&cfg.Limits)).To(Equal(c.is))
+		})
+	}
+}
