front, catalog: servers that say that they leave or ask for a pause

Cause: the platform's servers now state in any answer that they leave (Server-Leaving), and in a 503 for how long they want nothing from this instance (Retry-After). Both were ignored: requests went on until the store said so, and a 503 without proof of "not run" was forwarded to callers as such a promise.

Change: both are recorded in the server's gauge before the answer goes on, so that they hold for every request that is placed or about to be sent. A gauge belongs to one process of a server and is kept while its entry is missing from the store. A paused server gets no request; where all are paused, the caller is told when the first pause ends, spread over the work that waits there. Instances do not tell each other: what the rule asks for is per instance, and the store says it to all within a second.

--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -30,6 +30,8 @@
 	Load       float64 // estimated number of requests at the server
 	LimitedMS  int64   // time left for which it is treated as cold
 	EjectedMS  int64   // time left for which it is not chosen while others are usable
+	Leaving    bool    // whether it has said in an answer that it leaves
+	PausedMS   int64   // time left for which it has asked for no requests
 	ColdSender bool    // whether this instance may send to it while it is treated as cold
 	WorkMS     int64   // estimated time of a request of its service
 }
@@ -51,6 +53,7 @@
 			d.Servers = append(d.Servers, dumpServer{
 				Backend: m.Backend, Load: m.Gauge.Load(now), LimitedMS: max(0, m.LimitedUntil.Sub(now).Milliseconds()),
 				EjectedMS: max(0, m.EjectedUntil.Sub(now).Milliseconds()), ColdSender: m.ColdSender,
+				Leaving: m.Gauge.Leaving(), PausedMS: max(0, m.Gauge.Pause.Until().Sub(now).Milliseconds()),
 				WorkMS: s.Time.Estimate().Milliseconds(),
 			})
 		}
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -258,7 +258,7 @@
 	}
 	m := c.servers[key]
 	if m == nil || m.Born != b.Born || m.Address != b.Address {
-		m = &trackedServer{gauge: &Gauge{}}
+		m = &trackedServer{gauge: c.gaugeOf(key, b)}
 		c.servers[key] = m
 	}
 	if m.Name == "" && logNew || m.Name != "" && m.Draining != b.Draining {
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -13,9 +13,13 @@
 // loadHalfWeightAge is the age at which a reported load counts half.
 const loadHalfWeightAge = 800 * time.Millisecond
 
-// Gauge tracks a backend server's load as the traffic goroutines see it. It is safe for concurrent use.
+// Gauge holds what the traffic goroutines learn of one process of a backend server: its load, and whether it asks for no
+// further requests. It is retained while the server's entry is missing from the store. It is safe for concurrent use.
 type Gauge struct {
 	ColdPacer quota.Pacer
+	Pause     quota.Pause // the server has asked for no requests until then
+
+	leaving atomic.Bool
 
 	mu           sync.Mutex
 	startTimes   []state.Instant // of this instance's requests at the server, oldest first
@@ -24,6 +28,13 @@
 	sentSince    int             // requests that this instance has sent since the last report
 }
 
+// SetLeaving records that the server has said that it leaves, which is final for its process. It returns false when that was
+// known already.
+func (g *Gauge) SetLeaving() bool { return !g.leaving.Swap(true) }
+
+// Leaving reports whether the server has said that it leaves. It must get no further requests, whatever the store says.
+func (g *Gauge) Leaving() bool { return g.leaving.Load() }
+
 // Begin counts a request that is sent to the server.
 func (g *Gauge) Begin(now state.Instant) {
 	g.mu.Lock()
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -34,13 +34,14 @@
 	Chosen     Reason = iota
 	NoServers         // the service has no server that the route allows
 	Exhausted         // every server that the route allows has been tried
+	Paused            // the remaining servers have asked for no requests for a time
 	Limited           // the remaining servers are cold and must get no more requests for now
 	Overloaded        // every considered server is expected to answer too late; see serversPerObject
 )
 
 // String returns the reason's name in log lines.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no-servers", "exhausted", "limited", "overloaded"}[r]
+	return [...]string{"chosen", "no-servers", "exhausted", "paused", "limited", "overloaded"}[r]
 }
 
 // Parameters of the choice. Utilization is measured in requests per slot.
@@ -90,8 +91,11 @@
 }
 
 // StillUsable reports whether a server chosen from an older view may still get the request: the newest view has it, in the same
-// incarnation, and it has not become cold since.
+// incarnation, it has not become cold since, and it has not asked for no further requests.
 func StillUsable(newest *catalog.View, service state.ServiceName, chosen *catalog.Server, now state.Instant) bool {
+	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) {
+		return false
+	}
 	s := newest.Server(service, chosen.Name)
 	if s == nil || s.Address != chosen.Address || s.Born != chosen.Born {
 		return false
@@ -143,15 +147,19 @@
 	reason := NoServers
 	serviceTime := service.Time.Estimate()
 	for _, s := range service.Servers {
-		if !r.Route.ServedIn(s.Region) {
+		if !r.Route.ServedIn(s.Region) || s.Gauge.Leaving() {
 			continue
 		}
 		if slices.Contains(r.Tried, s.Name) {
 			reason = max(reason, Exhausted)
 			continue
 		}
+		if s.Gauge.Pause.Active(now) {
+			reason = max(reason, Paused)
+			continue
+		}
 		if now.Before(s.LimitedUntil) && !s.ColdSender {
-			reason = Limited
+			reason = max(reason, Limited)
 			continue
 		}
 		c := candidate{server: s, remote: s.Region != r.Region}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -244,12 +244,16 @@
 // Guards against a request to a server that has left, was replaced or became cold between the choice and the sending.
 func TestChoiceFromAnOlderViewNeedsTheSameWarmServer(t *testing.T) {
 	server := func(change func(s *catalog.Server)) *catalog.Server {
-		s := &catalog.Server{Backend: routing.Backend{Name: "s", Service: "svc", Address: "10.0.0.1:80", Born: 1}}
+		s := &catalog.Server{
+			Backend: routing.Backend{Name: "s", Service: "svc", Address: "10.0.0.1:80", Born: 1}, Gauge: &catalog.Gauge{},
+		}
 		change(s)
 		return s
 	}
 	same := func(*catalog.Server) {}
 	cold := func(s *catalog.Server) { s.LimitedUntil = now + 1 }
+	leaving := func(s *catalog.Server) { s.Gauge.SetLeaving() }
+	paused := func(s *catalog.Server) { s.Gauge.Pause.Extend(now, time.Second) }
 	for name, c := range map[string]struct {
 		chosen, newest *catalog.Server
 		usable         bool
@@ -259,6 +263,8 @@
 		"restarted":        {server(same), server(func(s *catalog.Server) { s.Born = 2 }), false},
 		"moved":            {server(same), server(func(s *catalog.Server) { s.Address = "10.0.0.2:80" }), false},
 		"has become cold":  {server(same), server(cold), false},
+		"says it leaves":   {server(leaving), server(same), false},
+		"asks for a pause": {server(paused), server(same), false},
 		"still cold":       {server(cold), server(cold), true},
 		"no longer cold":   {server(cold), server(same), true},
 		"has been ejected": {server(same), server(func(s *catalog.Server) { s.EjectedUntil = now + 1 }), true},
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -38,10 +38,15 @@
 	Signed      bool   // the server has marked the answer as its own
 	NotRun      bool   // the server did not run the request
 	WrongServer bool   // the address belongs to a server other than the intended one
+	Leaving     bool   // the server leaves; its process must get no further requests
 	HasLoad     bool   // Running, Waiting and Slots are set
 	Running     int    // requests that the server runs
 	Waiting     int    // requests that wait at the server
 	Slots       int
+	// Pause is the time for which the server asks the sender for no requests; 0 when it does not ask. BadPause means that the
+	// headers state one that is no time.
+	Pause    time.Duration
+	BadPause bool
 }
 
 // Request is one request to one backend server.
--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -69,6 +69,12 @@
 	q.m.log.log.Info(message, append(q.fields(), fields...)...)
 }
 
+// logBelief writes a line about a change of what this instance believes of a server. It is not subject to the budgets: it comes
+// once for each change.
+func (q *request) logBelief(message string, fields ...any) {
+	q.m.log.log.Info(message, append(q.fields(), fields...)...)
+}
+
 // logServed writes a line about a request that the server has served, within the budgets. exchange is how long the successful
 // exchange took.
 func (q *request) logServed(server *catalog.Server, exchange time.Duration) {
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -9,6 +9,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/placement"
+	"azurebridge/state"
 	"azurebridge/transport/backendconn"
 )
 
@@ -63,7 +64,7 @@
 			q.writeServed(answer, server)
 			return
 		}
-		if answer.authentic() {
+		if answer.forwardable() {
 			failure = answer.Answer
 		}
 		if !q.canRetry() {
@@ -83,12 +84,13 @@
 		}
 	}
 	q.view = m.opts.Loop.View()
-	server, reason := placement.Choose(q.view, &placement.Request{
+	wanted := &placement.Request{
 		Service: q.service, Object: q.affinityKey(), Route: q.route, Region: m.opts.Region,
 		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Random: rand.Float64, TimeLeft: q.timeLeft(),
-	}, now)
+	}
+	server, reason := placement.Choose(q.view, wanted, now)
 	if server == nil {
-		q.lastOutcome = reason.String()
+		q.lastOutcome, q.retryAfter = reason.String(), placement.RetryAfter(q.view, wanted, now)
 		return nil, false
 	}
 	if q.sent > 0 {
@@ -125,7 +127,22 @@
 func (a reply) authentic() bool { return a.Signed && a.Header.Get("Content-Encoding") == "" }
 
 // acceptable reports whether the answer is forwarded without trying another server.
-func (a reply) acceptable() bool { return a.authentic() && a.Status < http.StatusInternalServerError }
+func (a reply) acceptable() bool {
+	return a.authentic() && a.Status < http.StatusInternalServerError && !claimsNotRun(a.Status)
+}
+
+// forwardable reports whether the answer may be forwarded when no other server answers.
+func (a reply) forwardable() bool { return a.authentic() && !claimsNotRun(a.Status) }
+
+// claimsNotRun reports whether callers take the status for a promise that the request has not run. Only an answer marked as
+// not run proves that, so that a server's answer with such a status is never forwarded.
+func claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
 
 // exchange sends the request to a server and reports the outcome to the control goroutine.
 func (q *request) exchange(ctx context.Context, server *catalog.Server) (reply, error) {
@@ -157,6 +174,7 @@
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
 	}
+	q.recordWishes(server, a.Marks, now)
 	if out.acceptable() && !a.NotRun {
 		q.view.Services[q.service].Time.Record(took, server.Gauge.Load(now), server.Slots)
 	}
@@ -179,11 +197,29 @@
 	return out, nil
 }
 
+// recordWishes records in the server's gauge, before the answer goes to the caller, that the server leaves or wants no requests
+// for a time. Requests that are about to be sent to it are withdrawn.
+func (q *request) recordWishes(server *catalog.Server, marks backendconn.Marks, now state.Instant) {
+	m := q.m
+	if marks.Leaving && server.Gauge.SetLeaving() {
+		m.Stats.Leaving.Add(1)
+		q.logBelief("backend server says that it leaves", "server", string(server.Name), "born", server.Born)
+	}
+	if marks.BadPause {
+		m.Stats.BadPauses.Add(1)
+	}
+	if marks.Pause > 0 && server.Gauge.Pause.Extend(now, marks.Pause) {
+		m.Stats.Paused.Add(1)
+		q.logBelief("backend server asks for a pause", "server", string(server.Name), "pause_ms", marks.Pause.Milliseconds(),
+			"load", server.Gauge.Load(now))
+	}
+}
+
 // withdrawn reports whether the newest view no longer allows the server to get the request. It is called once the connection
 // is open.
 func (q *request) withdrawn(server *catalog.Server) bool {
 	newest := q.m.opts.Loop.View()
-	if newest == q.view || placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
+	if placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
 		return false
 	}
 	q.m.Stats.Withdrawn.Add(1)
@@ -245,7 +281,7 @@
 		q.m.Stats.Passed.Add(1)
 		q.writeAnswer(failure)
 	case !q.ran:
-		q.refuse(q.lastOutcome, refusedRetryAfter)
+		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
 		q.m.Stats.TimedOut.Add(1)
 		q.respond(http.StatusGatewayTimeout, "time is over", 0)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -70,6 +70,9 @@
 	Retries   atomic.Uint64
 	NoBudget  atomic.Uint64 // retries not sent because the retry budget was used up
 	Withdrawn atomic.Uint64 // exchanges aborted before the request was sent, because the server had left meanwhile
+	Leaving   atomic.Uint64 // backend servers that have said in an answer that they leave
+	Paused    atomic.Uint64 // pauses that backend servers have asked for
+	BadPauses atomic.Uint64 // answers with a Retry-After that is no number of seconds
 	InService atomic.Int64  // requests in progress
 }
 
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -36,9 +36,10 @@
 	body        []byte        // whole, or its first maxBufferedBody bytes
 	rest        io.Reader     // the body after those bytes; nil when body is whole
 	tried       []state.BackendName
-	sent        int    // times that a backend server got or may have got the request
-	ran         bool   // the request has run or may have run
-	lastOutcome string // outcome of the last exchange, or why there was no further one
+	sent        int           // times that a backend server got or may have got the request
+	ran         bool          // the request has run or may have run
+	lastOutcome string        // outcome of the last exchange, or why there was no further one
+	retryAfter  time.Duration // when a refused caller should return; 0 until placement has found no server
 }
 
 // readBody reads the body, or its first maxBufferedBody bytes. It answers and returns false when the request exceeds a limit,
