backendconn: an answer that names no request counts only on a new connection

Cause: on a connection in use again, an answer without a request ID was taken for the answer to the current request.

Change: such an answer fails the exchange as "may have run", unless the connection has carried no other request. Requests without an ID get a connection of their own.

--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -53,7 +53,7 @@
 type Request struct {
 	Server  state.BackendName
 	Address string
-	ID      string // answers with the ID of another request are skipped
+	ID      string // answers with the ID of another request are skipped; a request without an ID gets a connection of its own
 	Head    []byte // request line and headers, with the empty line
 	Body    []byte // the whole body, or its first bytes when there is a Rest
 	Rest    io.Reader
@@ -68,6 +68,9 @@
 // ErrWithdrawn is the cause of a failure whose request was withdrawn before anything was sent.
 var ErrWithdrawn = errors.New("request withdrawn")
 
+// errUnnamedAnswer means that an answer on a connection that has carried other requests does not name the one it answers.
+var errUnnamedAnswer = errors.New("the answer names no request, and the connection has carried others")
+
 // Answer is a backend server's answer.
 type Answer struct {
 	Marks
@@ -98,7 +101,7 @@
 func (p *Pool) Do(ctx context.Context, d Dialect, r *Request) (*Answer, error) {
 	key := serverKey{r.Server, r.Address}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	c, err := p.get(dialCtx, key, r.MaxIdle)
+	c, err := p.connect(dialCtx, key, r)
 	cancel()
 	if err != nil {
 		return nil, &Failure{Step: "connect", Peer: r.Address, Dialed: true, Err: err}
@@ -227,9 +230,14 @@
 			continue
 		}
 		marks := x.dialect.Inspect(resp.Header, resp.StatusCode)
-		if marks.RequestID == "" || marks.RequestID == x.request.ID {
+		if marks.RequestID == x.request.ID || marks.RequestID == "" && !x.conn.used {
 			return resp, marks, nil
 		}
+		if marks.RequestID == "" {
+			// It may be a late copy of an answer to an earlier request on the connection.
+			x.pool.Stats.Unnamed.Add(1)
+			return nil, Marks{}, x.failure("read answer of", true, errUnnamedAnswer)
+		}
 		x.pool.Stats.Strays.Add(1)
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxBuffered+1)); err != nil || n > MaxBuffered || resp.Close {
 			return nil, Marks{}, x.failure("skip an unexpected answer of", true, errors.Errorf("for request %s", marks.RequestID))
--- a/transport/backendconn/pool.go
+++ b/transport/backendconn/pool.go
@@ -44,6 +44,7 @@
 	Stale      atomic.Uint64 // idle for too long, closed by the server, or with bytes that belong to no request
 	DialFailed atomic.Uint64
 	Strays     atomic.Uint64 // answers that belong to another request
+	Unnamed    atomic.Uint64 // answers that name no request, on a connection that has carried others
 }
 
 // NewPool returns an empty pool.
@@ -51,6 +52,14 @@
 	return &Pool{dial: dial, idle: make(map[serverKey][]*conn)}
 }
 
+// connect returns a connection for a request. Without an ID, its answer could not be told from a late one to an earlier request.
+func (p *Pool) connect(ctx context.Context, key serverKey, r *Request) (*conn, error) {
+	if r.ID == "" {
+		return p.open(ctx, key)
+	}
+	return p.get(ctx, key, r.MaxIdle)
+}
+
 // get returns a usable connection that has been idle for at most maxIdle, or opens one.
 func (p *Pool) get(ctx context.Context, key serverKey, maxIdle time.Duration) (*conn, error) {
 	for {
