callerconn: read callers' requests ahead

Cause: net/http takes up the next request of a connection only after the answer to the one before, so that the waits of requests sent ahead add up. It also stops watching for a caller's leaving once it holds a byte of the next request, and starts a request whose caller has already closed the connection.

Change: an own loop over http.ReadRequest with a queue of requests for each connection. Requests without a body are started while earlier ones run, up to 16 a connection and a quarter of the process's memory in answers over all of them; answers go out in order. A request that must not be repeated waits for its turn. Only the last answer of the queue closes the connection. A request is started when the reader is about to wait for bytes, so that the end of the connection behind it is seen first. It takes over the tracking of idle and busy connections, with its tests, from transport/front.

Also in front: a request that must not be repeated was sent to a server although its caller had left before, because its context does not end with the caller's.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -31,6 +31,7 @@
 	"azurebridge/state/routing"
 	"azurebridge/transport/backend"
 	"azurebridge/transport/backendconn"
+	"azurebridge/transport/callerconn"
 	"azurebridge/transport/eventlog"
 	"azurebridge/transport/front"
 	"azurebridge/transport/metastore"
@@ -55,6 +56,21 @@
 // maxHeaderBytes is the maximum size of a request's header, in bytes. The routing table may set a smaller limit.
 const maxHeaderBytes = 64 << 10
 
+// aheadMemoryFraction is the fraction of the process's memory that answers may take that wait for an earlier one of their
+// connection; each has up to backendconn.MaxBuffered bytes.
+const aheadMemoryFraction = 0.25
+
+// unlimitedAhead bounds such requests where the settings state no memory.
+const unlimitedAhead = 256
+
+// maxAhead returns the max number of requests that are in progress behind another one of their connection.
+func maxAhead(memoryMegabyte float64) int {
+	if memoryMegabyte == 0 {
+		return unlimitedAhead
+	}
+	return max(1, int(memoryMegabyte*(1<<20)*aheadMemoryFraction/backendconn.MaxBuffered))
+}
+
 // program holds the components of the process.
 type program struct {
 	cfg         *settings.Front
@@ -74,8 +90,7 @@
 	factsClient *peers.FactsClient
 	relay       *peers.Relay
 	readers     *peers.Subscriber // receives changes from the readers, the instances that watch the store
-	callers     *http.Server
-	conns       *front.Conns // of callers
+	callers     *callerconn.Server
 	listener    net.Listener // of callers
 }
 
@@ -114,11 +129,10 @@
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics,
 	})
-	p.conns = front.NewConns(p.loop.Now)
-	p.callers = &http.Server{
-		Handler: p.front, ConnState: p.conns.ConnState, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	p.callers = callerconn.NewServer(callerconn.Options{
+		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
+		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte),
+	})
 	var err error
 	p.peers, err = peers.New(peers.Options{
 		Self: cfg.Name, Region: cfg.Region, Listen: cfg.Peers, Loop: p.loop, Log: p.log.Named("peers"),
@@ -219,7 +233,7 @@
 	facts := peers.Handler(p.loop, p.relay)
 	for _, s := range []struct {
 		address netip.AddrPort
-		server  *http.Server
+		server  interface{ Serve(net.Listener) error }
 	}{
 		{p.cfg.Callers, p.callers},
 		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
@@ -235,8 +249,7 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if s.server == p.callers {
-			ln = p.conns.Listener(ln)
+		if s.address == p.cfg.Callers {
 			p.listener = ln
 		}
 		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
@@ -281,7 +294,7 @@
 	wait.Every(ctx, sweepInterval, func() {
 		p.pool.Sweep()
 		if table := p.loop.View().Table; table != nil {
-			p.conns.Expire(table.Limits)
+			p.callers.Expire(table.Limits)
 		}
 	})
 }
--- a/cmd/azb-front/stop.go
+++ b/cmd/azb-front/stop.go
@@ -31,7 +31,7 @@
 	if err := p.listener.Close(); err != nil {
 		p.log.Warn("closing the callers' listener failed", "error", err.Error())
 	}
-	for p.conns.CloseIdle() > 0 && wait.For(ctx, stopPollInterval) {
+	for p.callers.CloseIdle() > 0 && wait.For(ctx, stopPollInterval) {
 	}
 	p.log.Info("planned stop ends", "requests", p.front.Stats.InService.Load(), "ms", time.Since(start).Milliseconds())
 }
--- a/transport/front/conns_test.go
+++ b/transport/callerconn/conns_test.go
@@ -1,4 +1,4 @@
-package front
+package callerconn
 
 import (
 	"bufio"
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
 	"azurebridge/state"
@@ -18,27 +19,44 @@
 // testTimeout is how long a test waits for something that happens within milliseconds.
 const testTimeout = 10 * time.Second
 
-// callerServer is an HTTP server with tracked connections, whose clock a test sets.
+// callerConn lets tests name the type where a variable is called conn.
+type callerConn = conn
+
+// callerServer is a server whose clock a test sets.
 type callerServer struct {
 	*WithT
-	conns   *Conns
+	*Server
 	now     atomic.Int64
 	address string
 }
 
 // newCallerServer starts a server whose requests wait until release is closed.
 func newCallerServer(t *testing.T, release <-chan struct{}) *callerServer {
+	t.Helper()
+	return startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "served")
+	}))
+}
+
+// startServer starts a server with a handler.
+func startServer(t *testing.T, handler http.Handler) *callerServer {
 	t.Helper()
 	c := &callerServer{WithT: NewWithT(t)}
-	c.conns = NewConns(func() state.Instant { return state.Instant(c.now.Load()) })
+	c.now.Store(int64(time.Hour))
+	c.Server = NewServer(Options{
+		Handler: handler, Clock: func() state.Instant { return state.Instant(c.now.Load()) }, Log: hclog.NewNullLogger(),
+		MaxHeader: 8 << 10, MaxAhead: 40,
+	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Expect(err).NotTo(HaveOccurred())
-	server := &http.Server{ConnState: c.conns.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		<-release
-		_, _ = io.WriteString(w, "served")
-	})}
-	go func() { _ = server.Serve(c.conns.Listener(ln)) }() // ends with the test
-	t.Cleanup(func() { server.Close() })
+	go func() { _ = c.Serve(ln) }() // ends when the listener is closed
+	t.Cleanup(func() {
+		ln.Close()
+		for _, open := range c.list() {
+			open.abort()
+		}
+	})
 	c.address = ln.Addr().String()
 	return c
 }
@@ -57,14 +75,14 @@
 	conn := c.dial(t)
 	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	c.Expect(err).NotTo(HaveOccurred())
-	c.await(func(t *trackedConn) bool { return t.headerRead })
+	c.await(func(t *callerConn) bool { return len(t.queue) == 1 && t.held == nil })
 	return conn
 }
 
 // await waits until the state of the only connection satisfies the condition.
-func (c *callerServer) await(condition func(*trackedConn) bool) {
+func (c *callerServer) await(condition func(*callerConn) bool) {
 	c.Eventually(func() bool {
-		list := c.conns.list()
+		list := c.list()
 		if len(list) == 0 {
 			return false
 		}
@@ -77,7 +95,7 @@
 // expire advances the clock and closes the connections that exceed the limits: 3 s for a header, 15 s idle.
 func (c *callerServer) expire(after time.Duration) {
 	c.now.Add(int64(after))
-	c.conns.Expire(routing.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
+	c.Expire(routing.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second})
 }
 
 // Guards against callers that occupy a connection with a header that never ends, and against closing the connection while the
@@ -87,11 +105,11 @@
 	conn := c.dial(t)
 	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x")
 	c.Expect(err).NotTo(HaveOccurred())
-	c.await(func(t *trackedConn) bool { return t.busy })
+	c.await(func(t *callerConn) bool { return t.partial })
 	c.expire(2 * time.Second)
-	c.Expect(c.conns.Stats.SlowHeaders.Load()).To(BeZero())
+	c.Expect(c.Stats.SlowHeaders.Load()).To(BeZero())
 	c.expire(2 * time.Second)
-	c.Expect(c.conns.Stats.SlowHeaders.Load()).To(Equal(uint64(1)))
+	c.Expect(c.Stats.SlowHeaders.Load()).To(Equal(uint64(1)))
 	_, err = conn.Read(make([]byte, 1))
 	c.Expect(err).To(HaveOccurred())
 }
@@ -108,9 +126,9 @@
 	c.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	c.Eventually(func() bool {
 		c.expire(16 * time.Second)
-		return c.conns.Stats.Idle.Load() == 1
+		return c.Stats.Idle.Load() == 1
 	}, testTimeout).Should(BeTrue())
-	c.Eventually(c.conns.list, testTimeout).Should(BeEmpty())
+	c.Eventually(c.list, testTimeout).Should(BeEmpty())
 }
 
 // Guards against a planned stop that aborts a request in progress.
@@ -118,12 +136,12 @@
 	release := make(chan struct{})
 	c := newCallerServer(t, release)
 	conn := c.request(t)
-	c.Expect(c.conns.CloseIdle()).To(Equal(1))
+	c.Expect(c.CloseIdle()).To(Equal(1))
 	close(release)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	c.Expect(err).NotTo(HaveOccurred())
 	c.Expect(resp.StatusCode).To(Equal(http.StatusOK))
-	c.Eventually(c.conns.CloseIdle, testTimeout).Should(BeZero())
+	c.Eventually(c.CloseIdle, testTimeout).Should(BeZero())
 }
 
 // lateConn is a connection whose Read returns bytes although it has been closed meanwhile.
@@ -135,9 +153,10 @@
 // Guards against a request that is accepted while its idle connection is being closed, so that it can no longer be answered.
 func TestBytesReadDuringCloseAreDropped(t *testing.T) {
 	g := NewWithT(t)
-	c := &trackedConn{Conn: lateConn{}, clock: func() state.Instant { return 0 }}
+	s := NewServer(Options{Clock: func() state.Instant { return 0 }})
+	c := s.add(lateConn{})
 	c.closeIdle()
-	n, err := c.Read(make([]byte, 100))
+	n, err := tracker{c}.Read(make([]byte, 100))
 	g.Expect(err).To(MatchError(net.ErrClosed))
 	g.Expect(n).To(BeZero())
 }
--- /dev/null
+++ b/transport/callerconn/limits.go
@@ -0,0 +1,72 @@
+package callerconn
+
+import (
+	"net"
+
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// idle reports whether the connection carries no request. c.mu is held on entry.
+func (c *conn) idle() bool { return len(c.queue) == 0 && !c.partial }
+
+// closeIdle closes the connection unless it carries a request. It reports whether the connection is closed.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle() {
+		c.closeNow()
+	}
+	return c.closed
+}
+
+// closeNow closes the connection, which ends its reader goroutine. c.mu is held on entry.
+func (c *conn) closeNow() {
+	c.closed = true
+	c.Conn.Close()
+	c.changed.Broadcast()
+}
+
+// expire closes the connection when it exceeds a limit, and counts which one.
+func (c *conn) expire(now state.Instant, limits routing.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stats := &c.server.Stats
+	age := now.Sub(c.since)
+	switch {
+	case c.closed || c.closing:
+	case c.writing != 0 && now.Sub(c.writing) > maxWriteTime:
+		stats.SlowReaders.Add(1)
+		c.cancel()
+		c.closeNow()
+	case len(c.queue) > 0:
+	case !c.partial && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
+		stats.Idle.Add(1)
+		c.closeNow()
+	case c.partial && limits.HeaderTimeout > 0 && age > limits.HeaderTimeout:
+		stats.SlowHeaders.Add(1)
+		c.closeNow()
+	}
+}
+
+// stallGuard writes to the connection and records when a write began, so that expire finds callers that do not read.
+type stallGuard struct{ *conn }
+
+func (g stallGuard) Write(b []byte) (int, error) {
+	g.setWriting(g.server.opts.Clock())
+	defer g.setWriting(0)
+	return g.Conn.Write(b)
+}
+
+func (c *conn) setWriting(at state.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = at
+}
+
+// closeAfterAnswer ends the sending side after the last answer. The reader goroutine reads on for lingerTime at most.
+func (c *conn) closeAfterAnswer() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // fails only for a connection that the caller has reset
+	}
+}
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -38,6 +38,7 @@
 	if a.Rest == nil && q.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
+	q.closeIfStopping()
 	q.w.WriteHeader(a.Status)
 	if q.r.Method == http.MethodHead {
 		return
@@ -74,6 +75,14 @@
 	q.log("request not served", "status", status, "why", reason)
 	body := http.StatusText(status) + ": " + reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.closeIfStopping()
 	q.w.WriteHeader(status)
 	_, _ = io.WriteString(q.w, body) // the caller may have disconnected
 }
+
+// closeIfStopping asks for the caller's connection to be closed after this answer when the instance is about to stop.
+func (q *request) closeIfStopping() {
+	if q.m.opts.Loop.View().Stopping {
+		q.w.Header().Set("Connection", "close")
+	}
+}
--- a/transport/front/departure_test.go
+++ b/transport/front/departure_test.go
@@ -22,6 +22,9 @@
 	"azurebridge/transport/backendconn"
 )
 
+// testTimeout is how long a test waits for something that happens within milliseconds.
+const testTimeout = 10 * time.Second
+
 // plainDialect treats every answer as signed by the server.
 type plainDialect struct{}
 
@@ -153,3 +156,18 @@
 	s.Expect(s.addressOf(s.requests()[0])).To(Equal(dialed[1]))
 	s.Expect(s.loop.View().Server("svc", state.BackendName(s.requests()[0]))).NotTo(BeNil())
 }
+
+// Guards against a request that is sent after its caller has left, because it must not be cancelled once it has been sent: the
+// caller leaves while the connection to the server is being opened.
+func TestRequestOfACallerThatHasLeftIsNotSent(t *testing.T) {
+	left, leave := context.WithCancel(context.Background())
+	s := newFixture(t, 2, func(_ *fixture, ctx context.Context, network, address string) (net.Conn, error) {
+		leave()
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	r := httptest.NewRequest(http.MethodPost, "http://x.example/a", nil).WithContext(left)
+	r.RequestURI = "/a"
+	s.Expect(func() { s.manager.ServeHTTP(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
+	s.Expect(s.requests()).To(BeEmpty())
+	s.Expect(s.manager.Stats.Left.Load()).To(Equal(uint64(1)))
+}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -215,9 +215,12 @@
 	}
 }
 
-// withdrawn reports whether the newest view no longer allows the server to get the request. It is called once the connection
-// is open.
+// withdrawn reports whether the request must not be sent to the server any more: its caller has left, or the newest view does
+// not allow it. It is called once the connection is open.
 func (q *request) withdrawn(server *catalog.Server) bool {
+	if q.callerLeft() {
+		return true
+	}
 	newest := q.m.opts.Loop.View()
 	if placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
 		return false
@@ -247,7 +250,7 @@
 		q.ran = true
 	}
 	q.lastOutcome = outcome.String()
-	if q.r.Context().Err() == nil { // a missing answer at the timeout counts as a failure of the server, too
+	if !q.callerLeft() { // a missing answer at the timeout counts as a failure of the server, too
 		q.m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
 		if !f.Dialed && ctx.Err() == nil {
 			q.m.opts.Pool.Drop(server.Name, server.Address)
@@ -257,13 +260,17 @@
 		"took_ms", took.Milliseconds(), "error", f.Error())
 }
 
+// callerLeft reports whether the caller has left. A request that is not idempotent goes on nevertheless once it has been sent.
+func (q *request) callerLeft() bool { return q.r.Context().Err() != nil }
+
 // finishIfDone ends a request whose timeout has passed (504) or whose caller has left (aborted). It returns false for any
 // other.
 func (q *request) finishIfDone(ctx context.Context) bool {
-	if ctx.Err() == nil {
+	unsentAndLeft := !q.ran && q.callerLeft()
+	if ctx.Err() == nil && !unsentAndLeft {
 		return false
 	}
-	if q.r.Context().Err() != nil {
+	if q.callerLeft() {
 		q.m.Stats.Left.Add(1)
 		q.log("caller left")
 		panic(http.ErrAbortHandler) // a caller that closed only its sending side would take an empty answer for a success
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -92,17 +92,14 @@
 	m.Stats.InService.Add(1)
 	defer m.Stats.InService.Add(-1)
 	v := m.opts.Loop.View()
-	if v.Stopping {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{
 		m: m, w: w, r: r, view: v, arrived: m.opts.Loop.Now(),
 		caller: m.opts.Dialect.Identify(r.Header),
 	}
-	if !q.match() || !q.readBody(v.Table.Limits) {
+	if !q.match() || !q.readBody(v.Table.Limits) || !q.awaitTurn() {
 		return
 	}
-	q.view = m.opts.Loop.View() // the body may have taken long to arrive
+	q.view = m.opts.Loop.View() // the body or the turn may have taken long to arrive
 	if q.view.Table != v.Table && !q.match() {
 		return
 	}
