azb-soak: servers that leave, pause, fall silent or repeat answers, and callers that send requests ahead

New checks: no request to a server from an instance that has passed on that it leaves, and none in a pause beyond two an instance.

--- a/cmd/azb-soak/callers.go
+++ b/cmd/azb-soak/callers.go
@@ -35,6 +35,7 @@
 	Status    int // 0 when no answer arrived
 	Body      string
 	Signature string
+	Leaving   bool // the answer says that the server leaves
 	Err       error
 }
 
@@ -65,6 +66,8 @@
 func (c *callers) runCaller(ctx context.Context, r *rand.Rand, number int) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: callTimeout}
 	defer client.CloseIdleConnections()
+	var ahead aheadConn // of callers that send requests ahead
+	defer ahead.close()
 	sticky := number%3 == 0
 	d := domains[number%len(domains)]
 	target := c.instances[number%len(c.instances)]
@@ -78,7 +81,12 @@
 				target = known[r.IntN(len(known))]
 			}
 		}
-		result := c.send(client, target, r)
+		var result *call
+		if number%aheadCallers == 0 {
+			result = c.sendAhead(&ahead, target, r)
+		} else {
+			result = c.send(client, target, r)
+		}
 		if result.Err != nil {
 			target = c.instances[r.IntN(len(c.instances))]
 		}
@@ -100,10 +108,10 @@
 	return slices.DeleteFunc(slices.Clone(c.instances), func(i *instance) bool { return !slices.Contains(addresses, i.callers) })
 }
 
-// send sends one request and records the outcome.
-func (c *callers) send(client *http.Client, target *instance, r *rand.Rand) *call {
+// newCall returns the next call, with its request. Every third one must run at most once, where mayWrite is set.
+func (c *callers) newCall(target *instance, r *rand.Rand, mayWrite bool) (*call, *http.Request) {
 	n := c.lastID.Add(1)
-	out := &call{ID: fmt.Sprintf("soak-%d", n), Write: n%3 == 0, Instance: target}
+	out := &call{ID: fmt.Sprintf("soak-%d", n), Write: mayWrite && n%3 == 0, Instance: target}
 	method, path, body := http.MethodGet, standin.ReadPath, ""
 	if out.Write {
 		method, path, body = http.MethodPost, standin.WritePath, "body of "+out.ID
@@ -118,16 +126,28 @@
 		req.Header.Set(name, value)
 	}
 	out.Start = time.Now()
+	return out, req
+}
+
+// send sends one request and records the outcome.
+func (c *callers) send(client *http.Client, target *instance, r *rand.Rand) *call {
+	out, req := c.newCall(target, r, true)
 	resp, err := client.Do(req)
+	c.record(out, resp, err)
+	return out
+}
+
+// record reads the answer, unless err is set, and records the outcome.
+func (c *callers) record(out *call, resp *http.Response, err error) {
 	if err == nil {
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 		out.Status, out.Body, out.Signature = resp.StatusCode, string(data), resp.Header.Get(standin.SignatureHeader)
+		out.Leaving = resp.Header.Get(standin.LeavingHeader) != ""
 	}
 	out.End, out.Err = time.Now(), err
 	c.mu.Lock()
 	c.calls = append(c.calls, out)
 	c.mu.Unlock()
-	return out
 }
--- a/cmd/azb-soak/check.go
+++ b/cmd/azb-soak/check.go
@@ -19,6 +19,9 @@
 	routeTimeout    = 2 * time.Second
 	// minServedShare is the min share of calls that must be served after the last fault.
 	minServedShare = 0.95
+	// maxInPause is the max number of requests of one instance to a server that has asked for a pause, from pauseReaction on.
+	maxInPause    = 2
+	pauseReaction = 500 * time.Millisecond
 	// maxRuns is the max number of runs of a request that may run more than once: the route allows two servers, and the
 	// caller's HTTP client may send the request a second time.
 	maxRuns = 4
@@ -86,6 +89,8 @@
 	}
 	if timed {
 		violations = append(violations, tb.checkRecovery()...)
+		violations = append(violations, tb.checkLeaving(runs)...)
+		violations = append(violations, tb.checkPauses()...)
 	}
 	return violations
 }
@@ -153,3 +158,61 @@
 	}
 	return nil
 }
+
+// checkLeaving reports requests that an instance has sent to a server later than drainBound after it had passed on an answer in
+// which the server says that it leaves. An instance that was disturbed since then may have forgotten it.
+func (tb *testbed) checkLeaving(runs map[string][]serverRun) (violations []string) {
+	type pair struct{ instance, signature string }
+	said := make(map[pair]time.Time)
+	for _, c := range tb.callers.calls {
+		p := pair{c.Instance.name, c.Signature}
+		if first, ok := said[p]; c.Leaving && (!ok || c.End.Before(first)) {
+			said[p] = c.End
+		}
+	}
+	for _, c := range tb.callers.calls {
+		for _, r := range runs[c.ID] {
+			at, ok := said[pair{c.Instance.name, "sig-" + r.server.idAt(r.At)}]
+			if ok && c.Start.Sub(at) > drainBound && !c.Instance.disturbances.overlaps(at, r.At, anyFault) {
+				violations = append(violations, fmt.Sprintf("%s reached %s %v after %s had passed on that it leaves",
+					c.ID, r.server.idAt(r.At), c.Start.Sub(at), c.Instance.name))
+			}
+		}
+	}
+	return violations
+}
+
+func anyFault(fault) bool { return true }
+
+// checkPauses reports servers that were asked more often in a pause than the instances together may. An instance that was
+// disturbed may have forgotten the pause, and a server whose link was disturbed may get requests late.
+func (tb *testbed) checkPauses() (violations []string) {
+	for _, b := range tb.servers {
+		for _, s := range b.all {
+			asked := s.Pauses()
+			for n, at := range asked {
+				from, to := at.Add(pauseReaction), at.Add(serverPause*time.Second)
+				arrived := 0
+				for _, later := range asked[n:] {
+					if later.After(from) && later.Before(to) {
+						arrived++
+					}
+				}
+				if arrived > maxInPause*len(tb.instances) && tb.undisturbedForPause(b, at, to) {
+					violations = append(violations, fmt.Sprintf("%s was asked %d times in a pause of %d s", s.ID, arrived, serverPause))
+				}
+			}
+		}
+	}
+	return violations
+}
+
+// undisturbedForPause reports whether no instance was disturbed in the period, and the server by nothing but its own pauses.
+func (tb *testbed) undisturbedForPause(b *backend, from, to time.Time) bool {
+	for _, i := range tb.instances {
+		if i.disturbances.overlaps(from, to, anyFault) {
+			return false
+		}
+	}
+	return !b.disturbances.overlaps(from, to, func(f fault) bool { return f != serverAsksPause }) && tb.stalls.undisturbed(from, to, "")
+}
--- a/cmd/azb-soak/plan.go
+++ b/cmd/azb-soak/plan.go
@@ -27,6 +27,11 @@
 	evacuateDomain    fault = "evacuate"
 	changeTable       fault = "change table"
 
+	serverLeaves    fault = "server leaves"     // it says so in its answers, and is replaced at the end
+	serverAsksPause fault = "server asks pause" // it rejects requests and asks for none for some seconds
+	serverSilent    fault = "server silent"     // its entry is missing for a while; it works on
+	serverRepeats   fault = "server repeats"    // it sends copies of answers late
+
 	soakStalled fault = "soak stalled" // not a step: azb-soak itself was delayed, so times measured meanwhile are invalid
 )
 
@@ -67,17 +72,37 @@
 	meanGap := minMeanGap + time.Duration(r.Int64N(int64(maxMeanGap-minMeanGap)))
 	steps := make([]step, window/meanGap)
 	for i := range steps {
-		s := step{
-			At:    warmUp + time.Duration(r.Int64N(int64(window))),
-			Fault: kinds[r.IntN(len(kinds))], Target: r.IntN(1 << 16), Variant: r.IntN(1 << 16),
-		}
-		maxTime := maxFaultTime
-		if s.Fault == drainServer || s.Fault == evacuateDomain {
-			maxTime = min(maxAbsence, length-recoveryTime-s.At)
-		}
-		s.For = maxTime/10 + time.Duration(r.Int64N(int64(maxTime*9/10)))
-		steps[i] = s
+		steps[i] = newStep(r, kinds, window, length)
 	}
+	steps = append(steps, newServerSteps(seed, window, length)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.At - b.At) })
 	return steps
 }
+
+// newStep draws a step.
+func newStep(r *rand.Rand, kinds []fault, window, length time.Duration) step {
+	s := step{
+		At:    warmUp + time.Duration(r.Int64N(int64(window))),
+		Fault: kinds[r.IntN(len(kinds))], Target: r.IntN(1 << 16), Variant: r.IntN(1 << 16),
+	}
+	maxTime := maxFaultTime
+	if s.Fault == drainServer || s.Fault == evacuateDomain {
+		maxTime = min(maxAbsence, length-recoveryTime-s.At)
+	}
+	s.For = maxTime/10 + time.Duration(r.Int64N(int64(maxTime*9/10)))
+	return s
+}
+
+// newServerSteps returns further steps, of faults that were added later: they are drawn from a source of their own, so that
+// the other steps of the seeds that have found a fault stay as they were.
+func newServerSteps(seed uint64, window, length time.Duration) []step {
+	r := rand.New(rand.NewPCG(seed, ^seed))
+	kinds := []fault{serverLeaves, serverAsksPause, serverSilent, serverRepeats}
+	r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	kinds = kinds[:1+r.IntN(len(kinds))]
+	steps := make([]step, window/minMeanGap/time.Duration(2+r.IntN(6)))
+	for i := range steps {
+		steps[i] = newStep(r, kinds, window, length)
+	}
+	return steps
+}
--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -8,10 +8,11 @@
 	"azurebridge/platform/standin"
 )
 
-// Variants of storeFails and serverFails.
+// Variants of storeFails, serverFails and serverRepeats.
 var (
 	storeFaults  = []standin.Fault{standin.Busy, standin.TooManyRequests, standin.Reset, standin.NoAnswer, standin.LostReply}
 	serverFaults = []standin.Behaviour{standin.Shed, standin.Fail, standin.Truncate, standin.DropAnswer, standin.Extra, standin.Unsigned}
+	repeats      = []standin.Behaviour{standin.CopyLate, standin.CopyLateUnnamed}
 )
 
 // apply executes a step, and undoes it when its duration has passed.
@@ -41,8 +42,17 @@
 		tb.store.ExpireLeases()
 	case serverFails:
 		defer b.disturbances.begin(s.Fault)()
-		server := b.current()
-		tb.applyFor(server.ID, s.For, func() { server.Set(serverFaults[s.Variant%len(serverFaults)]) }, func() { server.Set(standin.Serve) })
+		tb.setBehaviour(b, serverFaults[s.Variant%len(serverFaults)], s.For)
+	case serverLeaves:
+		tb.leave(b, s.For)
+	case serverAsksPause:
+		defer b.disturbances.begin(s.Fault)()
+		tb.setBehaviour(b, standin.AskPause, s.For)
+	case serverRepeats:
+		defer b.disturbances.begin(s.Fault)()
+		tb.setBehaviour(b, repeats[s.Variant%len(repeats)], s.For)
+	case serverSilent:
+		tb.silence(b, s.For)
 	case drainServer:
 		tb.drain(b, s.For)
 	case replaceServer:
@@ -70,6 +80,32 @@
 	}
 }
 
+// setBehaviour changes the behaviour of a server for d.
+func (tb *testbed) setBehaviour(b *backend, how standin.Behaviour, d time.Duration) {
+	server := b.current()
+	tb.applyFor(server.ID, d, func() { server.Set(how) }, func() { server.Set(standin.Serve) })
+}
+
+// leave lets a server say in its answers that it leaves, for d, and then replaces it: its process gets no requests any more.
+func (tb *testbed) leave(b *backend, d time.Duration) {
+	server := b.current()
+	server.Set(standin.Leave)
+	time.Sleep(d)
+	if b.current() == server {
+		tb.replace(b)
+	}
+}
+
+// silence removes a server's entry for d, as the store does when it hears nothing of the server. The server works on.
+func (tb *testbed) silence(b *backend, d time.Duration) {
+	server := b.current()
+	tb.store.RemoveServer(server.ID)
+	time.Sleep(d)
+	if b.current() == server {
+		tb.putServer(b, "ready")
+	}
+}
+
 // signalInstance sends the step's signal, then resumes a paused instance or restarts a stopped one. It records a violation
 // when the instance does not exit or does not become ready.
 func (tb *testbed) signalInstance(i *instance, s step) {
--- a/cmd/azb-soak/testbed.go
+++ b/cmd/azb-soak/testbed.go
@@ -19,6 +19,7 @@
 	instanceCount = 6
 	serverCount   = 8
 	serverWork    = 20 * time.Millisecond
+	serverPause   = 2 // seconds for which a server asks for no requests
 	targetLatency = 800 * time.Millisecond
 	readyTimeout  = 15 * time.Second
 	watchInterval = 250 * time.Millisecond
@@ -116,7 +117,7 @@
 	tb.lastServerNumber++
 	s, err := standin.NewServer(fmt.Sprintf("server-%d", tb.lastServerNumber))
 	if err == nil {
-		s.Work = serverWork
+		s.Work, s.PauseTime = serverWork, serverPause
 	}
 	return s, errors.Wrap(err, "start backend server")
 }
