metastore, catalog: nothing that was withdrawn comes back

A fleet key that was deleted from the store stayed in use.

Change: an instance without any state takes the newest of up to three answers. A deleted key is dropped, and agreed on anew.

hostclock: azb-entry's leases are measured by CLOCK_BOOTTIME.

--- a/cmd/azb-entry/instance.go
+++ b/cmd/azb-entry/instance.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"azurebridge/coordination/control"
+	"azurebridge/internal/hostclock"
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
@@ -87,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	in.loop = control.NewLoop(control.NewCore(self), state.MonotonicClock(), in.fleet)
+	in.loop = control.NewLoop(control.NewCore(self), hostclock.New(), in.fleet)
 	in.runners = append(in.runners, in.loop.Run, func(ctx context.Context) { in.fleet.Run(ctx, in.loop.Offer) })
 	return nil
 }
--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -159,7 +159,15 @@
 // send sends a request with a unique id on the client's connections.
 func (f *fixture) send(ctx context.Context, client *http.Client, method, path, body string) answer {
 	f.lastRequest++
-	id := fmt.Sprintf("req-%d", f.lastRequest)
+	return f.sendWith(ctx, fmt.Sprintf("req-%d", f.lastRequest), client, method, path, body)
+}
+
+// sendAs sends a request with the given id.
+func (f *fixture) sendAs(id string, client *http.Client, method, path, body string) answer {
+	return f.sendWith(context.Background(), id, client, method, path, body)
+}
+
+func (f *fixture) sendWith(ctx context.Context, id string, client *http.Client, method, path, body string) answer {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.program.cfg.Callers.String()+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -176,6 +176,9 @@
 			removed = append(removed, Item{Key: key})
 		}
 	}
+	if c.fleetKey != nil && !present[c.fleetKeyKey] {
+		removed = append(removed, Item{Key: c.fleetKeyKey})
+	}
 	c.applyChanges(now, append(removed, items...))
 }
 
@@ -296,6 +299,10 @@
 		delete(c.evacuated, key)
 		c.assumeDomainCold(now, e.Domain)
 	}
+	if c.fleetKey != nil && key == c.fleetKeyKey {
+		c.log("fleet key withdrawn")
+		c.fleetKey = nil
+	}
 	delete(c.peers, key)
 }
 
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -169,23 +169,31 @@
 // stale reports whether the store's last answer is so old that changes may be missing.
 func (f *Follower) stale() bool { return gossip.RemainingTrust(f.opts.Contact.Age()) == 0 }
 
-// ask queries up to askTries other instances and applies the first newer state as a listing. It returns false when no queried
-// instance knows a newer revision.
+// ask queries up to askTries other instances and applies the first newer state as a listing. An instance that has just started
+// knows no revision and takes the newest state of all answers: the first one may come from an instance that is cut off, and
+// still hold servers that have left. It returns false when no queried instance knows a newer revision.
 func (f *Follower) ask(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	known := f.Revision()
+	newest := catalog.Listed{Source: catalog.FromInstance, Revision: known}
 	for range askTries {
-		items, revision, ok := f.opts.Ask(call, f.Revision())
-		if !ok || revision <= f.Revision() {
-			continue
+		items, revision, ok := f.opts.Ask(call, known)
+		if ok && revision > newest.Revision {
+			newest.Items, newest.Revision = items, revision
 		}
-		f.Stats.Asked.Add(1)
-		f.tables.update(items)
-		f.opts.Sink.Send(ctx, catalog.Listed{Source: catalog.FromInstance, Revision: revision, Items: items})
-		f.revision.Store(uint64(revision))
-		return true
+		if known > 0 && newest.Revision > known {
+			break
+		}
+	}
+	if newest.Revision == known {
+		return false
 	}
-	return false
+	f.Stats.Asked.Add(1)
+	f.tables.update(newest.Items)
+	f.opts.Sink.Send(ctx, newest)
+	f.revision.Store(uint64(newest.Revision))
+	return true
 }
 
 // list lists the store, and sends and publishes the result.
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -369,3 +369,25 @@
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
 }
+
+// Guards against an instance that has just started, is rejected by the store, and uses servers that have left: the first
+// instance that it asks may be cut off and hold an old state.
+func TestStartingInstanceTakesTheNewestStateOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{unavailable: true, watch: blockedWatch}
+	events := &eventRecorder{}
+	opts := newOptions(s, events, newRelays(false))
+	answers := []catalog.Revision{7, 9, 8}
+	var asked atomic.Int32
+	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
+		revision := answers[int(asked.Add(1)-1)%len(answers)]
+		return nil, revision, revision > after
+	}
+	f := runFollower(t, opts)
+	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	for _, ev := range events.all() {
+		if listed, ok := ev.(catalog.Listed); ok {
+			g.Expect(listed.Revision).To(Equal(catalog.Revision(9)), "the older states are not applied")
+		}
+	}
+}
