--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -56,6 +56,9 @@
 // maxHeaderBytes is the maximum size of a request's header, in bytes. The routing table may set a smaller limit.
 const maxHeaderBytes = 64 << 10
 
+// tableWait is how long requests wait for the first routing table.
+const tableWait = 500 * time.Millisecond
+
 // aheadMemoryFraction is the fraction of the process's memory that answers may take that wait for an earlier one of their
 // connection; each has up to backendconn.MaxBuffered bytes.
 const aheadMemoryFraction = 0.25
@@ -127,7 +130,7 @@
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
-		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics,
+		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
 	})
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -20,12 +20,13 @@
 	log     func(LogEntry)
 	queue   chan Event
 	view    atomic.Pointer[View]
+	tabled  chan struct{} // closed when the first routing table is in force
 	Dropped atomic.Uint64 // observations dropped because the queue was full
 }
 
 // NewLoop returns a loop that is not yet running. log is called on the control goroutine and must not block.
 func NewLoop(core *Core, clock func() state.Instant, log func(LogEntry)) *Loop {
-	l := &Loop{core: core, clock: clock, log: log, queue: make(chan Event, maxQueuedEvents)}
+	l := &Loop{core: core, clock: clock, log: log, queue: make(chan Event, maxQueuedEvents), tabled: make(chan struct{})}
 	l.view.Store(core.View())
 	return l
 }
@@ -33,6 +34,18 @@
 // View returns the current view.
 func (l *Loop) View() *View { return l.view.Load() }
 
+// Tabled returns a channel that is closed when the first routing table is in force.
+func (l *Loop) Tabled() <-chan struct{} { return l.tabled }
+
+// publish makes a view the current one. It runs on the control goroutine.
+func (l *Loop) publish(v *View) {
+	first := v.Table != nil && l.View().Table == nil
+	l.view.Store(v)
+	if first {
+		close(l.tabled)
+	}
+}
+
 // Now returns the time of the clock that the view's instants refer to.
 func (l *Loop) Now() state.Instant { return l.clock() }
 
@@ -81,7 +94,7 @@
 			l.core.Tick(l.clock())
 		}
 		if v := l.core.View(); v != nil {
-			l.view.Store(v)
+			l.publish(v)
 		}
 		for _, n := range l.core.TakeLogEntries() {
 			l.log(n)
--- a/transport/front/departure_test.go
+++ b/transport/front/departure_test.go
@@ -41,14 +41,15 @@
 	*WithT
 	loop    *catalog.Loop
 	manager *Manager
-	items   []catalog.Item // of the servers
+	items   []catalog.Item // of the servers, and the routing table as the last one
 
 	mu       sync.Mutex
 	received []string // names of servers, one for each request
 }
 
-// newFixture starts n servers of one service, and a Manager that opens connections to them with dial.
-func newFixture(t *testing.T, n int, dial func(s *fixture, ctx context.Context, network, address string) (net.Conn, error)) *fixture {
+// newStartingFixture starts n servers of one service, and a Manager that opens connections to them with dial. The instance has
+// no routing table yet.
+func newStartingFixture(t *testing.T, n int, dial func(s *fixture, ctx context.Context, network, address string) (net.Conn, error)) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -71,28 +72,43 @@
 		Name: "write", Host: "x.example", Prefix: "/", Timeout: testTimeout, MaxAttempts: 2, Parts: []routing.Part{{Service: "svc", Weight: 1}},
 	}}}
 	table.Index()
-	s.loop.Send(ctx, catalog.Listed{Revision: 1, Items: append([]catalog.Item{{Key: "table", Fact: table}}, s.items...)})
-	s.Eventually(func() *routing.Table { return s.loop.View().Table }, testTimeout).ShouldNot(BeNil())
+	s.items = append(s.items, catalog.Item{Key: "table", Fact: table})
 	s.manager = New(Options{
 		Loop: s.loop, Dialect: plainDialect{}, Region: "north", Retry: quota.RetryLimit{Ratio: 1, Extra: 10, Window: time.Second}, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 		Pool: backendconn.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dial(s, ctx, network, address)
 		}),
+		TableWait: testTimeout,
 	})
 	return s
 }
 
+// newFixture returns a fixture whose instance knows the routing table and the servers.
+func newFixture(t *testing.T, n int, dial func(s *fixture, ctx context.Context, network, address string) (net.Conn, error)) *fixture {
+	t.Helper()
+	s := newStartingFixture(t, n, dial)
+	s.list()
+	s.Eventually(func() *routing.Table { return s.loop.View().Table }, testTimeout).ShouldNot(BeNil())
+	return s
+}
+
+// list gives the instance the routing table and the servers.
+func (s *fixture) list() {
+	s.loop.Send(context.Background(), catalog.Listed{Revision: 1, Items: s.items})
+}
+
 // drain marks the servers with the given addresses as draining, and waits until they get no new requests.
 func (s *fixture) drain(addresses ...string) {
 	change := catalog.Changed{After: 1, Revision: 2}
 	for _, it := range s.items {
-		if b := *it.Fact.(*routing.Backend); slices.Contains(addresses, b.Address) {
+		if server, ok := it.Fact.(*routing.Backend); ok && slices.Contains(addresses, server.Address) {
+			b := *server
 			b.Draining = true
 			change.Items = append(change.Items, catalog.Item{Key: it.Key, Fact: &b})
 		}
 	}
 	s.loop.Send(context.Background(), change)
-	s.Eventually(func() int { return len(s.loop.View().Services["svc"].Servers) }, testTimeout).Should(Equal(len(s.items) - len(addresses)))
+	s.Eventually(func() int { return len(s.loop.View().Services["svc"].Servers) }, testTimeout).Should(Equal(len(s.items) - 1 - len(addresses)))
 }
 
 // addressOf returns the address of a server by its name.
@@ -143,8 +159,8 @@
 		}
 		var others []string
 		for _, it := range s.items {
-			if other := it.Fact.(*routing.Backend).Address; other != address {
-				others = append(others, other)
+			if other, ok := it.Fact.(*routing.Backend); ok && other.Address != address {
+				others = append(others, other.Address)
 			}
 		}
 		s.drain(others[1:]...)
@@ -171,3 +187,24 @@
 	s.Expect(s.requests()).To(BeEmpty())
 	s.Expect(s.manager.Stats.Left.Load()).To(Equal(uint64(1)))
 }
+
+// Guards against refusing the requests that reach an instance in the first moments after its start: their callers return much
+// later than the routing table arrives.
+func TestRequestWaitsForTheFirstTable(t *testing.T) {
+	s := newStartingFixture(t, 1, func(_ *fixture, ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	status := make(chan int, 1)
+	go func() { status <- s.send() }()
+	s.Eventually(s.manager.tableWaiters.Load, testTimeout).Should(Equal(int64(1)))
+	s.list()
+	s.Eventually(status, testTimeout).Should(Receive(Equal(http.StatusOK)))
+	s.Expect(s.manager.tableWaiters.Load()).To(BeZero())
+}
+
+// Guards against a crowd of requests that waits without bound for a table that does not come.
+func TestRequestsThatWaitForATableAreBounded(t *testing.T) {
+	s := newStartingFixture(t, 1, nil)
+	s.manager.tableWaiters.Store(maxTableWaiters)
+	s.Expect(s.send()).To(Equal(http.StatusServiceUnavailable))
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -44,6 +44,9 @@
 	Retry   quota.RetryLimit
 	Log     hclog.Logger
 	Metrics metrics.Registry
+	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
+	// that is refused meanwhile returns much later.
+	TableWait time.Duration
 }
 
 // Manager is the HTTP handler for callers' requests. It is safe for concurrent use.
@@ -53,7 +56,9 @@
 	sizes     *answerSizes
 	log       *decisionLog
 	latencies *latencies
-	Stats     Stats
+	// tableWaiters is the number of requests that wait for the first routing table.
+	tableWaiters atomic.Int64
+	Stats        Stats
 }
 
 // Stats counts requests by their final answer, and also retries and aborted exchanges.
@@ -91,16 +96,17 @@
 	m.Stats.Requests.Add(1)
 	m.Stats.InService.Add(1)
 	defer m.Stats.InService.Add(-1)
-	v := m.opts.Loop.View()
 	q := &request{
-		m: m, w: w, r: r, view: v, arrived: m.opts.Loop.Now(),
+		m: m, w: w, r: r, view: m.opts.Loop.View(), arrived: m.opts.Loop.Now(),
 		caller: m.opts.Dialect.Identify(r.Header),
 	}
-	if !q.match() || !q.readBody(v.Table.Limits) || !q.awaitTurn() {
+	q.awaitTable()
+	table := q.view.Table
+	if !q.match() || !q.readBody(table.Limits) || !q.awaitTurn() {
 		return
 	}
 	q.view = m.opts.Loop.View() // the body or the turn may have taken long to arrive
-	if q.view.Table != v.Table && !q.match() {
+	if q.view.Table != table && !q.match() {
 		return
 	}
 	q.service = q.route.Part(rand.Float64())
