placement: share requests between regions by their slots

Cause: servers of the own region counted three times as much as others, whatever their number.

Change: each region's own servers take what they have slots for, 85 in 100 at most; the rest goes to regions in proportion to the slots that they have to spare. The requests of the regions count as equal; busy servers are passed over as before.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -49,8 +49,6 @@
 	// serversPerObject is the number of servers, first in an object's order, that share its requests. More would balance the
 	// load better, but each server caches a bounded number of objects and evicts some when it gets too many.
 	serversPerObject = 2
-	// localWeight is the weight of a server of this instance's region, relative to one elsewhere with as many slots.
-	localWeight = 3
 	// acceptableUtilization is the utilization up to which a server is taken without examining the next one: a short wait at a
 	// server that has the object cached costs less than the work at one that has not.
 	acceptableUtilization = 1.5
@@ -75,7 +73,8 @@
 	if len(usable) == 0 {
 		return nil, reason
 	}
-	sortCandidates(usable, r)
+	weights := newRegionWeights(s, v.Regions, r.Region)
+	sortCandidates(usable, r, &weights)
 	for len(usable) > 0 {
 		i := pick(usable, r, now)
 		c := usable[i]
@@ -177,9 +176,9 @@
 
 // sortCandidates sorts by the weighted rendezvous hash of the object, or at random without an object. For bulk requests,
 // servers of this instance's region come first.
-func sortCandidates(list []candidate, r *Request) {
+func sortCandidates(list []candidate, r *Request, weights *regionWeights) {
 	for i := range list {
-		list[i].rank = r.rank(list[i].server)
+		list[i].rank = r.rank(list[i].server, weights)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if r.Bulk && a.remote != b.remote {
@@ -195,13 +194,9 @@
 	})
 }
 
-// rank gives each server a share of the objects in proportion to its slots, and more to servers of this instance's region:
-// they are nearer, and traffic between regions is expensive. Regions with few servers still send most of their load elsewhere.
-func (r *Request) rank(s *catalog.Server) float64 {
-	slots := float64(max(1, s.Slots))
-	if s.Region == r.Region {
-		slots *= localWeight
-	}
+// rank gives each server a share of the objects in proportion to its slots, weighted by region.
+func (r *Request) rank(s *catalog.Server, weights *regionWeights) float64 {
+	slots := float64(max(1, s.Slots)) * weights.of(s.Region, r.Region)
 	if r.Object == "" {
 		return -math.Log(1-r.Random()) / slots
 	}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,21 @@
 	for i := range n {
 		s.Servers = append(s.Servers, newServer(i, regions[i%len(regions)]))
 	}
-	return &catalog.View{Services: map[state.ServiceName]*catalog.Service{"search": s}}
+	s.Regions = slotsByRegion(s.Servers)
+	return &catalog.View{Services: map[state.ServiceName]*catalog.Service{"search": s}, Regions: len(s.Regions)}
+}
+
+// slotsByRegion returns the slots of servers by region.
+func slotsByRegion(servers []*catalog.Server) (out []catalog.RegionSlots) {
+	for _, s := range servers {
+		i := slices.IndexFunc(out, func(r catalog.RegionSlots) bool { return r.Region == s.Region })
+		if i < 0 {
+			out = append(out, catalog.RegionSlots{Region: s.Region})
+			i = len(out) - 1
+		}
+		out[i].Slots += s.Slots
+	}
+	return out
 }
 
 func newRequest(object string) *Request {
