catalog: a server whose address belongs to a later one is removed

Change: when an entry of a process that started later has the address of another server, that server has ended and is removed; an entry of such a server is ignored. Where starts are not announced, nothing changes.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -46,6 +46,7 @@
 	table         *routing.Table
 	tableKey      string
 	servers       map[string]*trackedServer // by key
+	byAddress     map[string]string         // key of the server that an address belongs to
 	departed      map[string]departure
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
@@ -82,7 +83,7 @@
 // NewCore returns an empty core.
 func NewCore(opts Options) *Core {
 	return &Core{
-		opts: opts, servers: make(map[string]*trackedServer), departed: make(map[string]departure), evacuated: make(map[string]Evacuation),
+		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), dirty: true,
 	}
 }
@@ -259,8 +260,14 @@
 		c.logFact("outdated heartbeat ignored", "server", string(b.Name), "beat", b.Beat, "draining", b.Draining)
 		return
 	}
+	if !c.takeAddress(now, key, b) {
+		return
+	}
 	m := c.servers[key]
 	if m == nil || m.Born != b.Born || m.Address != b.Address {
+		if m != nil && m.Address != b.Address {
+			c.releaseAddress(key, m)
+		}
 		m = &trackedServer{gauge: c.gaugeOf(key, b)}
 		c.servers[key] = m
 	}
--- a/coordination/catalog/departure.go
+++ b/coordination/catalog/departure.go
@@ -58,6 +58,7 @@
 func (c *Core) removeServer(now state.Instant, key string, m *trackedServer) {
 	c.logFact("backend server removed", "server", string(m.Name), "service", string(m.Service))
 	delete(c.servers, key)
+	c.releaseAddress(key, m)
 	c.forgetDepartures(now)
 	c.departed[key] = departure{born: m.Born, heartbeat: m.Beat, address: m.Address, gauge: m.gauge, at: now}
 }
