--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -50,4 +50,8 @@
 check fails relay IGNORE_GAP
 check fails relay KEEP_TRUST
 check fails relay NO_REPEAT
+check holds leaving
+check fails leaving FORGET_GAUGE
+check fails leaving NO_CHECK
+check fails leaving ANSWER_FIRST
 exit "$failed"
