--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -51,6 +51,7 @@
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
 	counters      map[state.ServiceName]*Counters
+	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
 	fleetKeyKey   string
 	storeLost     bool
@@ -84,7 +85,7 @@
 func NewCore(opts Options) *Core {
 	return &Core{
 		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), evacuated: make(map[string]Evacuation),
-		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), dirty: true,
+		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), distances: make(map[state.RegionName]*Distance), dirty: true,
 	}
 }
 
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -104,3 +104,22 @@
 
 // Estimate returns the mean time, or 0 before the first measurement.
 func (s *ServiceTime) Estimate() time.Duration { return time.Duration(s.nanos.Load()) }
+
+// Distance is the shortest time in which a connection to a server of a region was opened, which is about one round trip. It is
+// safe for concurrent use.
+type Distance struct {
+	nanos atomic.Int64 // 0 before the first measurement
+}
+
+// Record adds a measured time.
+func (d *Distance) Record(took time.Duration) {
+	for {
+		shortest := d.nanos.Load()
+		if shortest != 0 && int64(took) >= shortest || d.nanos.CompareAndSwap(shortest, max(1, int64(took))) {
+			return
+		}
+	}
+}
+
+// Estimate returns the time, or 0 before the first measurement.
+func (d *Distance) Estimate() time.Duration { return time.Duration(d.nanos.Load()) }
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -47,7 +47,7 @@
 			return strings.Compare(string(r.Region), string(name))
 		})
 		if !found {
-			out = slices.Insert(out, i, RegionSlots{Region: m.Region})
+			out = slices.Insert(out, i, RegionSlots{Region: m.Region, Distance: m.Distance})
 		}
 		out[i].Slots += max(1, m.Slots)
 	}
@@ -79,10 +79,20 @@
 	limitedUntil := max(m.ColdUntil, m.assumedColdUntil)
 	s.Servers = append(s.Servers, &Server{
 		Backend: m.Backend, LimitedUntil: limitedUntil, EjectedUntil: m.health.ejectedUntil, Gauge: m.gauge,
+		Distance:   c.distanceOf(m.Region),
 		ColdSender: limitedUntil != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
 	})
 }
 
+func (c *Core) distanceOf(region state.RegionName) *Distance {
+	d := c.distances[region]
+	if d == nil {
+		d = &Distance{}
+		c.distances[region] = d
+	}
+	return d
+}
+
 func (c *Core) countersOf(name state.ServiceName) *Counters {
 	n := c.counters[name]
 	if n == nil {
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -48,8 +48,9 @@
 
 // RegionSlots is how many slots the servers of a service have in a region.
 type RegionSlots struct {
-	Region state.RegionName
-	Slots  int
+	Region   state.RegionName
+	Slots    int
+	Distance *Distance // of this instance from the region
 }
 
 // Counters are the retry budget and the service time of a service. They are retained as long as the process runs.
@@ -65,4 +66,5 @@
 	EjectedUntil state.Instant // until then the server is skipped while others are usable
 	ColdSender   bool          // whether this instance may send to the server while it is limited
 	Gauge        *Gauge
+	Distance     *Distance // of this instance from the server's region
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -73,7 +73,7 @@
 	if len(usable) == 0 {
 		return nil, reason
 	}
-	weights := newRegionWeights(s, v.Regions, r.Region)
+	weights := newRegionWeights(s, v.Regions, r)
 	sortCandidates(usable, r, &weights)
 	for len(usable) > 0 {
 		i := pick(usable, r, now)
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -78,6 +78,8 @@
 	Header http.Header
 	Body   []byte        // whole when Rest is nil, else its first bytes
 	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered
+	// Connect is how long it took to open the connection; 0 when one was reused.
+	Connect time.Duration
 }
 
 // Failure is an exchange without a whole answer.
@@ -101,8 +103,10 @@
 func (p *Pool) Do(ctx context.Context, d Dialect, r *Request) (*Answer, error) {
 	key := serverKey{r.Server, r.Address}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialed := time.Now()
 	c, err := p.connect(dialCtx, key, r)
 	cancel()
+	connect := time.Since(dialed)
 	if err != nil {
 		return nil, &Failure{Step: "connect", Peer: r.Address, Dialed: true, Err: err}
 	}
@@ -115,6 +119,9 @@
 	x := &exchange{pool: p, key: key, conn: c, dialect: d, request: r, stop: stop}
 	a, err := x.run()
 	if err == nil {
+		if !reused {
+			a.Connect = connect
+		}
 		return a, nil
 	}
 	stop()
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -174,6 +174,9 @@
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
 	}
+	if a.Connect > 0 {
+		server.Distance.Record(a.Connect)
+	}
 	q.recordWishes(server, a.Marks, now)
 	if out.acceptable() && !a.NotRun {
 		q.view.Services[q.service].Time.Record(took, server.Gauge.Load(now), server.Slots)
