--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -33,35 +33,25 @@
 	}
 	for _, s := range v.Services {
 		slices.SortFunc(s.Servers, func(a, b *Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
-		s.Regions = regionSlots(s.Servers)
+		s.Regions = regionsOf(s.Servers)
 	}
-	v.Regions = countRegions(v.Peers)
 	return v
 }
 
-// regionSlots returns the slots of servers by region.
-func regionSlots(servers []*Server) []RegionSlots {
-	var out []RegionSlots
+// regionsOf returns the regions of servers, sorted by name.
+func regionsOf(servers []*Server) []Region {
+	var out []Region
 	for _, m := range servers {
-		i, found := slices.BinarySearchFunc(out, m.Region, func(r RegionSlots, name state.RegionName) int {
-			return strings.Compare(string(r.Region), string(name))
+		i, found := slices.BinarySearchFunc(out, m.Region, func(r Region, name state.RegionName) int {
+			return strings.Compare(string(r.Name), string(name))
 		})
 		if !found {
-			out = slices.Insert(out, i, RegionSlots{Region: m.Region, Distance: m.Distance})
+			out = slices.Insert(out, i, Region{Name: m.Region, Distance: m.Distance})
 		}
-		out[i].Slots += max(1, m.Slots)
 	}
 	return out
 }
 
-func countRegions(peers []routing.Peer) int {
-	seen := make(map[state.RegionName]bool)
-	for _, p := range peers {
-		seen[p.Region] = true
-	}
-	return len(seen)
-}
-
 // addServer adds a server to the view when it may get requests.
 func (c *Core) addServer(v *View, m *trackedServer, names []state.InstanceName) {
 	if m.Draining || v.Evacuated[m.Domain] {
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -15,7 +15,6 @@
 	Table     *routing.Table // nil until one is known
 	Services  map[state.ServiceName]*Service
 	Peers     []routing.Peer // live instances, sorted by name; self is among them once it is registered
-	Regions   int            // number of regions in which there are live instances
 	Instances int            // recent max number of live instances, for shared limits
 	Evacuated map[state.DomainName]bool
 	StoreLost bool
@@ -41,16 +40,15 @@
 
 // Service holds the backend servers of a service that may get requests, and this instance's counters for the service.
 type Service struct {
-	Servers []*Server     // sorted by name
-	Regions []RegionSlots // sorted by region
+	Servers []*Server // sorted by name
+	Regions []Region  // in which there are servers, sorted by name
 	*Counters
 }
 
-// RegionSlots is how many slots the servers of a service have in a region.
-type RegionSlots struct {
-	Region   state.RegionName
-	Slots    int
-	Distance *Distance // of this instance from the region
+// Region is a region with its distance from this instance.
+type Region struct {
+	Name     state.RegionName
+	Distance *Distance
 }
 
 // Counters are the retry budget and the service time of a service. They are retained as long as the process runs.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -73,8 +73,7 @@
 	if len(usable) == 0 {
 		return nil, reason
 	}
-	weights := newRegionWeights(s, v.Regions, r)
-	sortCandidates(usable, r, &weights)
+	sortCandidates(usable, r, r.localWeight(s))
 	for len(usable) > 0 {
 		i := pick(usable, r, now)
 		c := usable[i]
@@ -176,9 +175,9 @@
 
 // sortCandidates sorts by the weighted rendezvous hash of the object, or at random without an object. For bulk requests,
 // servers of this instance's region come first.
-func sortCandidates(list []candidate, r *Request, weights *regionWeights) {
+func sortCandidates(list []candidate, r *Request, localWeight float64) {
 	for i := range list {
-		list[i].rank = r.rank(list[i].server, weights)
+		list[i].rank = r.rank(list[i].server, localWeight)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if r.Bulk && a.remote != b.remote {
@@ -194,9 +193,13 @@
 	})
 }
 
-// rank gives each server a share of the objects in proportion to its slots, weighted by region.
-func (r *Request) rank(s *catalog.Server, weights *regionWeights) float64 {
-	slots := float64(max(1, s.Slots)) * weights.of(s.Region, r.Region)
+// rank gives each server a share of the objects in proportion to its slots, and more to servers of this instance's region.
+// Regions with few servers still send most of their load elsewhere.
+func (r *Request) rank(s *catalog.Server, localWeight float64) float64 {
+	slots := float64(max(1, s.Slots))
+	if s.Region == r.Region {
+		slots *= localWeight
+	}
 	if r.Object == "" {
 		return -math.Log(1-r.Random()) / slots
 	}
