callerconn: keep accepting after a shortage of descriptors

Cause: found in a reading of the change: Serve returned on any error of Accept, and the process would have ended when it was out of descriptors for a moment, which net/http passes over.

Result: TestShortageOfDescriptorsPasses; without the case Serve returns and no request is served.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -252,7 +252,7 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		if s.address == p.cfg.Callers {
+		if s.server == p.callers {
 			p.listener = ln
 		}
 		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
--- a/transport/callerconn/conns_test.go
+++ b/transport/callerconn/conns_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,3 +162,33 @@
 	g.Expect(err).To(MatchError(net.ErrClosed))
 	g.Expect(n).To(BeZero())
 }
+
+// scarceListener fails once for lack of descriptors, then accepts.
+type scarceListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that ends because it is out of descriptors for a moment.
+func TestShortageOfDescriptorsPasses(t *testing.T) {
+	release := make(chan struct{})
+	close(release)
+	c := newCallerServer(t, release)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Expect(err).NotTo(HaveOccurred())
+	served := make(chan error, 1)
+	go func() { served <- c.Serve(&scarceListener{Listener: ln}) }()
+	resp, err := http.Get("http://" + ln.Addr().String())
+	c.Expect(err).NotTo(HaveOccurred())
+	c.Expect(resp.Body.Close()).To(Succeed())
+	c.Expect(c.Stats.AcceptFailed.Load()).To(Equal(uint64(1)))
+	ln.Close()
+	c.Eventually(served, testTimeout).Should(Receive(HaveOccurred()))
+}
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -11,9 +11,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -27,6 +29,8 @@
 	// lingerTime is how long a connection is read on after its last answer: closing a connection with unread bytes resets it, so
 	// that the caller may lose the answer.
 	lingerTime = 500 * time.Millisecond
+	// acceptPause is the time between two tries to accept a connection while the process is out of descriptors or memory.
+	acceptPause = 20 * time.Millisecond
 )
 
 // Options are the inputs of a Server.
@@ -54,14 +58,16 @@
 
 // Stats counts callers' connections and requests.
 type Stats struct {
-	Accepted    atomic.Uint64 // connections
-	Idle        atomic.Uint64 // connections closed because they were idle for longer than the limit
-	SlowHeaders atomic.Uint64 // connections closed because a request's header was not complete within the limit
-	SlowReaders atomic.Uint64 // connections closed because the caller did not accept an answer within maxWriteTime
-	Malformed   atomic.Uint64 // requests that could not be read
-	Ahead       atomic.Uint64 // requests taken up while an earlier one of their connection was in progress
-	Held        atomic.Uint64 // requests that waited for an earlier one because of MaxAhead or the bound of the connection
-	Unread      atomic.Uint64 // requests that were dropped before anything was done for them: the connection had ended
+	Accepted atomic.Uint64 // connections
+	// AcceptFailed counts connections that could not be accepted for lack of descriptors or memory.
+	AcceptFailed atomic.Uint64
+	Idle         atomic.Uint64 // connections closed because they were idle for longer than the limit
+	SlowHeaders  atomic.Uint64 // connections closed because a request's header was not complete within the limit
+	SlowReaders  atomic.Uint64 // connections closed because the caller did not accept an answer within maxWriteTime
+	Malformed    atomic.Uint64 // requests that could not be read
+	Ahead        atomic.Uint64 // requests taken up while an earlier one of their connection was in progress
+	Held         atomic.Uint64 // requests that waited for an earlier one because of MaxAhead or the bound of the connection
+	Unread       atomic.Uint64 // requests that were dropped before anything was done for them: the connection had ended
 }
 
 // NewServer returns a server without connections.
@@ -69,18 +75,34 @@
 	return &Server{opts: opts, open: make(map[*conn]struct{})}
 }
 
-// Serve accepts connections until the listener fails, and returns its error. Connections stay open then.
+// Serve accepts connections until the listener fails, and returns its error. Connections stay open then. While the process is out
+// of descriptors or memory, it tries again after a pause.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
 		c, err := ln.Accept()
-		if err != nil {
+		switch {
+		case isShortage(err):
+			s.Stats.AcceptFailed.Add(1)
+			time.Sleep(acceptPause)
+		case err != nil:
 			return err
+		default:
+			s.Stats.Accepted.Add(1)
+			go s.add(c).serve()
 		}
-		s.Stats.Accepted.Add(1)
-		go s.add(c).serve()
 	}
 }
 
+// isShortage reports whether a connection could not be accepted for lack of descriptors or memory, which may pass.
+func isShortage(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) add(nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, nc, ctx, cancel)
