--- a/cmd/azb-front/ahead_test.go
+++ b/cmd/azb-front/ahead_test.go
@@ -92,21 +92,21 @@
 	f.servers[0].Release()
 }
 
-// pressingCaller sends requests on new and on kept connections, several ahead of the answers, until the instance accepts no
+// loadCaller sends requests on new and on kept connections, several ahead of the answers, until the instance accepts no
 // more. It returns the ids of the requests that were answered whole.
-func (f *fixture) pressingCaller(number int) (answered []string) {
+func (f *fixture) loadCaller(number int) (answered []string) {
 	for n := 0; ; n++ {
 		c, err := net.Dial("tcp", f.program.cfg.Callers.String())
 		if err != nil {
 			return answered
 		}
-		answered = append(answered, f.press(c, fmt.Sprintf("press-%d-%d", number, n))...)
+		answered = append(answered, f.sendGroups(c, fmt.Sprintf("load-%d-%d", number, n))...)
 		c.Close()
 	}
 }
 
-// press sends groups of requests on one connection until it ends.
-func (f *fixture) press(c net.Conn, name string) (answered []string) {
+// sendGroups sends groups of requests on one connection until it ends.
+func (f *fixture) sendGroups(c net.Conn, name string) (answered []string) {
 	reader := bufio.NewReader(c)
 	for group := 0; ; group++ {
 		var ids []string
@@ -148,7 +148,7 @@
 	var mu sync.Mutex
 	for n := range 12 {
 		callers.Go(func() {
-			ids := f.pressingCaller(n)
+			ids := f.loadCaller(n)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, id := range ids {
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -15,18 +15,18 @@
 
 // Loop runs a Core on the one control goroutine.
 type Loop struct {
-	core    *Core
-	clock   func() state.Instant
-	log     func(LogEntry)
-	queue   chan Event
-	view    atomic.Pointer[View]
-	tabled  chan struct{} // closed when the first routing table is in force
-	Dropped atomic.Uint64 // observations dropped because the queue was full
+	core       *Core
+	clock      func() state.Instant
+	log        func(LogEntry)
+	queue      chan Event
+	view       atomic.Pointer[View]
+	tableReady chan struct{} // closed when the first routing table is in force
+	Dropped    atomic.Uint64 // observations dropped because the queue was full
 }
 
 // NewLoop returns a loop that is not yet running. log is called on the control goroutine and must not block.
 func NewLoop(core *Core, clock func() state.Instant, log func(LogEntry)) *Loop {
-	l := &Loop{core: core, clock: clock, log: log, queue: make(chan Event, maxQueuedEvents), tabled: make(chan struct{})}
+	l := &Loop{core: core, clock: clock, log: log, queue: make(chan Event, maxQueuedEvents), tableReady: make(chan struct{})}
 	l.view.Store(core.View())
 	return l
 }
@@ -34,15 +34,15 @@
 // View returns the current view.
 func (l *Loop) View() *View { return l.view.Load() }
 
-// Tabled returns a channel that is closed when the first routing table is in force.
-func (l *Loop) Tabled() <-chan struct{} { return l.tabled }
+// TableReady returns a channel that is closed when the first routing table is in force.
+func (l *Loop) TableReady() <-chan struct{} { return l.tableReady }
 
 // publish makes a view the current one. It runs on the control goroutine.
 func (l *Loop) publish(v *View) {
 	first := v.Table != nil && l.View().Table == nil
 	l.view.Store(v)
 	if first {
-		close(l.tabled)
+		close(l.tableReady)
 	}
 }
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -89,7 +89,7 @@
 }
 
 // StillUsable reports whether a server chosen from an older view may still get the request: the newest view has it, in the same
-// incarnation, it has not become cold since, and it has not asked for no further requests.
+// incarnation, it has not become cold since, and it neither leaves nor has asked for a pause.
 func StillUsable(newest *catalog.View, service state.ServiceName, chosen *catalog.Server, now state.Instant) bool {
 	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) {
 		return false
--- a/coordination/placement/wishes_test.go
+++ b/coordination/placement/signals_test.go
@@ -264,7 +264,7 @@
 
 // Guards against requests to servers that leave or have asked for a pause, whatever the order of answers, listings, restarts of
 // servers and instances, slow connections and retries.
-func TestWishesOfServersHold(t *testing.T) {
+func TestSignalsOfServersAreHonored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		if broken := newSim(rapid.Uint64().Draw(t, "seed"), variant{}).run(); broken != "" {
 			t.Fatal(broken)
@@ -272,8 +272,8 @@
 	})
 }
 
-// Guards against a check of the wishes that finds nothing: each of these mistakes must be found.
-func TestBrokenVariantsBreakWishes(t *testing.T) {
+// Guards against a check of the signals that finds nothing: each of these mistakes must be found.
+func TestBrokenVariantsMissSignals(t *testing.T) {
 	for _, v := range []variant{
 		{name: "no withdrawal", noWithdrawal: true}, {name: "pauses ignored", ignoresPauses: true},
 		{name: "leaving ignored", ignoresLeaving: true}, {name: "gauges forgotten", forgetsGauges: true},
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -58,7 +58,7 @@
 	c.changed.L = &c.mu
 	c.source = newSource(nc, c.startHeld)
 	c.reader = bufio.NewReaderSize(tracker{c}, readBuffer)
-	c.writer = bufio.NewWriterSize(stallGuard{c}, writeBuffer)
+	c.writer = bufio.NewWriterSize(stallTracker{c}, writeBuffer)
 	return c
 }
 
--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -49,10 +49,10 @@
 	}
 }
 
-// stallGuard writes to the connection and records when a write began, so that expire finds callers that do not read.
-type stallGuard struct{ *conn }
+// stallTracker writes to the connection and records when a write began, so that expire finds callers that do not read.
+type stallTracker struct{ *conn }
 
-func (g stallGuard) Write(b []byte) (int, error) {
+func (g stallTracker) Write(b []byte) (int, error) {
 	g.setWriting(g.server.opts.Clock())
 	defer g.setWriting(0)
 	return g.Conn.Write(b)
--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -69,9 +69,9 @@
 	q.m.log.log.Info(message, append(q.fields(), fields...)...)
 }
 
-// logBelief writes a line about a change of what this instance believes of a server. It is not subject to the budgets: it comes
-// once for each change.
-func (q *request) logBelief(message string, fields ...any) {
+// logServerChange writes a line about a change of a server's state. It is not subject to the budgets, because it comes once for
+// each change.
+func (q *request) logServerChange(message string, fields ...any) {
 	q.m.log.log.Info(message, append(q.fields(), fields...)...)
 }
 
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -177,7 +177,7 @@
 	if a.Connect > 0 {
 		server.Distance.Record(a.Connect)
 	}
-	q.recordWishes(server, a.Marks, now)
+	q.recordSignals(server, a.Marks, now)
 	if out.acceptable() && !a.NotRun {
 		q.view.Services[q.service].Time.Record(took, server.Gauge.Load(now), server.Slots)
 	}
@@ -200,20 +200,20 @@
 	return out, nil
 }
 
-// recordWishes records in the server's gauge, before the answer goes to the caller, that the server leaves or wants no requests
+// recordSignals records in the server's gauge, before the answer goes to the caller, that the server leaves or wants no requests
 // for a time. Requests that are about to be sent to it are withdrawn.
-func (q *request) recordWishes(server *catalog.Server, marks backendconn.Marks, now state.Instant) {
+func (q *request) recordSignals(server *catalog.Server, marks backendconn.Marks, now state.Instant) {
 	m := q.m
 	if marks.Leaving && server.Gauge.SetLeaving() {
 		m.Stats.Leaving.Add(1)
-		q.logBelief("backend server says that it leaves", "server", string(server.Name), "born", server.Born)
+		q.logServerChange("backend server says that it leaves", "server", string(server.Name), "born", server.Born)
 	}
 	if marks.BadPause {
 		m.Stats.BadPauses.Add(1)
 	}
 	if marks.Pause > 0 && server.Gauge.Pause.Extend(now, marks.Pause) {
 		m.Stats.Paused.Add(1)
-		q.logBelief("backend server asks for a pause", "server", string(server.Name), "pause_ms", marks.Pause.Milliseconds(),
+		q.logServerChange("backend server asks for a pause", "server", string(server.Name), "pause_ms", marks.Pause.Milliseconds(),
 			"load", server.Gauge.Load(now))
 	}
 }
--- a/transport/front/tablewait.go
+++ b/transport/front/tablewait.go
@@ -25,7 +25,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-m.opts.Loop.Tabled():
+	case <-m.opts.Loop.TableReady():
 	case <-q.r.Context().Done():
 	case <-timer.C:
 	}
