azb-load: requests sent ahead of answers

A line of reads with ahead = true sends its requests on one connection to each entry instance, without waiting for earlier answers.

--- a/protocol/settings/load.go
+++ b/protocol/settings/load.go
@@ -38,6 +38,7 @@
 	Timeout    time.Duration // of one attempt
 	ReadRate   int64         // bytes/s at which the client reads a body; 0 means unlimited
 	Deadline   time.Duration // sent as Azb-Deadline-Ms; 0 sends none
+	Ahead      bool          // requests are sent before the answers to earlier ones of their connection; for reads only
 }
 
 // ScheduledFault is switched on at At and off at Until, both since the start of the load. Until 0 leaves it on.
@@ -101,6 +102,10 @@
 		Timeout:    s.Duration("timeout", 10*time.Second, time.Millisecond, maxDuration),
 		ReadRate:   s.Rate("read_rate", 0, maxReadRate),
 		Deadline:   s.Duration("deadline", 0, 0, maxDuration),
+		Ahead:      s.Bool("ahead", false),
+	}
+	if m.Ahead && m.Submission {
+		s.Problem("ahead", "is for reads only: a submission must not be sent again when the connection ends")
 	}
 	if len(m.Customers) == 0 {
 		s.Problem("customers", "value is required")
--- a/protocol/settings/load_test.go
+++ b/protocol/settings/load_test.go
@@ -34,6 +34,22 @@
 	g.Expect(l.Faults[0].JSON).To(Equal(fault))
 }
 
+// Guards against submissions that are sent ahead, and sent again when the connection ends although they may have run.
+func TestOnlyReadsAreSentAhead(t *testing.T) {
+	g := NewWithT(t)
+	parse := func(kind string) (*Load, error) {
+		f, err := inifile.Parse("load.ini", []byte("[target]\ndeployment = x\nplatform = 127.0.0.1:1\ncontrol = 127.0.0.1:2\n"+
+			"[mix a]\nservice = s\ncustomers = c\nregions = r\nahead = true\nkind = "+kind+"\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+		return parseLoad(f)
+	}
+	l, err := parse("read")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Mix[0].Ahead).To(BeTrue())
+	_, err = parse("submission")
+	g.Expect(err).To(MatchError(ContainSubstring("[mix a] ahead: is for reads only")))
+}
+
 // Guards against accepting an incomplete section [callers_tls], and against requiring the section for plain HTTP.
 func TestCallersTLS(t *testing.T) {
 	g := NewWithT(t)
--- a/transport/load/runner.go
+++ b/transport/load/runner.go
@@ -56,7 +56,7 @@
 		MaxIdleConnsPerHost: maxIdlePerEntry, IdleConnTimeout: idleConnTimeout, DisableCompression: true, ReadBufferSize: checkBuffer,
 	}}
 	r.directory = newDirectory(client, cfg.Platform.String(), &r.stats)
-	r.sender = &sender{http: client, directory: r.directory, outcomes: r.outcomes, stats: &r.stats, rtt: cfg.NetworkRTT}
+	r.sender = &sender{http: client, ahead: newAheadTransport(), directory: r.directory, outcomes: r.outcomes, stats: &r.stats, rtt: cfg.NetworkRTT}
 	return r
 }
 
--- a/transport/load/send.go
+++ b/transport/load/send.go
@@ -52,6 +52,7 @@
 // sender sends requests as a caller does.
 type sender struct {
 	http      *http.Client
+	ahead     *aheadTransport // for mix lines whose requests are sent ahead of answers
 	directory *directory
 	outcomes  *OutcomeLog
 	stats     *Stats
@@ -216,7 +217,11 @@
 	if !wait.For(req.Context(), s.rtt) {
 		return nil, &net.OpError{Op: "dial", Err: req.Context().Err()}
 	}
-	resp, err := s.http.Transport.RoundTrip(req)
+	transport := s.http.Transport
+	if c.line.Ahead {
+		transport = s.ahead
+	}
+	resp, err := transport.RoundTrip(req)
 	return resp, errors.Wrap(err, "send request")
 }
 
