azb-front tests: ports below the ephemeral range

Cause: a test closed a listener to learn of a free port and started an instance on it later; an outgoing connection could take the port meanwhile.

--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,15 +127,34 @@
 	return p
 }
 
-// freePort returns a loopback address whose port was free when it was checked.
+// The instances' ports lie below the system's ephemeral ports: an outgoing connection of this or another test could otherwise take
+// a port between its check and its use. Test processes start at different ports of the range.
+const (
+	firstPort = 31_300
+	portCount = 1_400
+)
+
+var lastPort atomic.Uint32 // number of ports tried
+
+// freePort returns a loopback address whose port is free for TCP and UDP.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (os.Getpid()*97+int(lastPort.Add(1)))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // in use
+		}
+		packets, err := net.ListenPacket("udp", address)
+		ln.Close()
+		if err == nil {
+			packets.Close()
+			return netip.MustParseAddrPort(address)
+		}
 	}
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	t.Fatalf("all %d ports from %d on are in use", portCount, firstPort)
+	return netip.AddrPort{}
 }
 
 // usable returns the names of the servers that requests may be sent to.
