azb-soak: a silent server reports again in its state

Cause: reported a request to server-2 4.7 s after its departure. By the log of front-5 the store listed the server as draining at 36.8 s and as ready at 39.9 s: the end of an overlapping silence of the soak's own listed it as ready.

Change: a server that reports again during a drain is listed as draining.

--- a/cmd/azb-soak/soak_test.go
+++ b/cmd/azb-soak/soak_test.go
@@ -226,6 +226,18 @@
 	g.Expect(returned.Load()).To(Equal(int32(1)))
 }
 
+// Guards against a silent server that is listed as ready when it reports again during its drain.
+func TestSilentServerReturnsInItsState(t *testing.T) {
+	g := NewWithT(t)
+	tb := &testbed{absences: make(map[string]int)}
+	g.Expect(tb.listedState("server-1", 0)).To(Equal("ready"))
+	tb.absences[absenceKey("", 0)] = 1
+	g.Expect(tb.listedState("server-1", 0)).To(Equal("ready"), "the evacuation of its failure domain is the operators' matter")
+	tb.absences[absenceKey("server-1", 0)] = 1
+	g.Expect(tb.listedState("server-1", 0)).To(Equal("draining"))
+	g.Expect(tb.listedState("server-2", 0)).To(Equal("ready"))
+}
+
 // Guards against fields of the list of seeds that are parsed wrongly, and against malformed lines that are accepted.
 func TestKnownSeedsAreRead(t *testing.T) {
 	g := NewWithT(t)
--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -101,11 +101,24 @@
 	server := b.current()
 	tb.store.RemoveServer(server.ID)
 	time.Sleep(d)
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
 	if b.current() == server {
-		tb.putServer(b, "ready")
+		tb.putServer(b, tb.listedState(server.ID, b.domain))
+	}
+}
+
+// listedState returns the state in which a server registers: draining while a drain of it lasts. tb.mu is held on entry.
+func (tb *testbed) listedState(server string, domain int) string {
+	if tb.absences[absenceKey(server, domain)] > 0 {
+		return "draining"
 	}
+	return "ready"
 }
 
+// absenceKey is the key of absences for a server, or for a failure domain when server is empty.
+func absenceKey(server string, domain int) string { return server + domains[domain].name }
+
 // signalInstance sends the step's signal, then resumes a paused instance or restarts a stopped one. It records a violation
 // when the instance does not exit or does not become ready.
 func (tb *testbed) signalInstance(i *instance, s step) {
@@ -184,7 +197,7 @@
 // withdraw takes a server or a failure domain out of service for length. It is restored when the last of its overlapping
 // absences ends.
 func (tb *testbed) withdraw(d *departure, length time.Duration, leave, restore func()) {
-	key := d.Server + domains[d.Domain].name
+	key := absenceKey(d.Server, d.Domain)
 	tb.mu.Lock()
 	tb.absences[key]++
 	leave()
