edge: an answer to a submission without a length is not taken for whole

A receipt that was cut off was forwarded and recorded as the submission's whole answer.

Change: such an answer is counted, and the submission is answered and recorded as "unknown".

--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -136,8 +136,12 @@
 	s.rewind()
 	resp, proof, err := m.send(ctx, s.request, a)
 	if proof == backend.ProofAnswered {
-		m.forwardSubmissionAnswer(w, s, a, resp)
-		return "", true
+		if err = checkFraming(&s.out, resp); err == nil {
+			m.forwardSubmissionAnswer(w, s, a, resp)
+			return "", true
+		}
+		m.Stats.BadAnswers.Add(1)
+		proof = backend.ProofNone // it has run, but whether the answer is whole cannot be told
 	}
 	m.release(a, resultOf(proof, err))
 	if resp != nil {
--- a/transport/edge/submission_test.go
+++ b/transport/edge/submission_test.go
@@ -260,3 +260,22 @@
 	f.Expect(f.post("k", strings.Repeat("x", edge.MaxBufferedBody))).To(HaveField("Outcome", "not-run"))
 	f.Expect(f.callCount()).To(Equal(3), "a buffered body should be tried at both servers")
 }
+
+// Guards against a truncated answer that is taken for a whole one, and recorded as such: without a length or chunks, the end of the
+// connection does not tell whether the body is complete.
+func TestUnframedAnswerToASubmissionIsUnknown(t *testing.T) {
+	f := newFixture(t, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err) // the server is plain HTTP/1.1
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nreceipt 4") // the client may have left
+	})
+	a := f.post("key-1", "a donation")
+	f.Expect(a.Outcome).To(Equal("unknown"))
+	f.Expect(a.Body).NotTo(ContainSubstring("receipt"))
+	a = f.post("key-1", "a donation")
+	f.Expect(a.Outcome).To(Equal("unknown"), "the recorded outcome is the one that was answered")
+	f.Expect(f.callCount()).To(Equal(1))
+}
