--- a/transport/edge/stream.go
+++ b/transport/edge/stream.go
@@ -5,7 +5,8 @@
 	"net/http"
 )
 
-// stream copies a body and returns the number of bytes written. It flushes after each read that fills buf.
+// stream copies a body and returns the number of bytes written. It flushes after each read that
+// leaves room in buf: more may come much later.
 func stream(w http.ResponseWriter, body io.Reader, buf []byte) (n int64, readErr, writeErr error) {
 	flusher, _ := w.(http.Flusher)
 	for {
@@ -16,7 +17,7 @@
 			if werr != nil {
 				return n, nil, werr
 			}
-			if err == nil && nr == len(buf) && flusher != nil {
+			if err == nil && nr < len(buf) && flusher != nil {
 				flusher.Flush()
 			}
 		}
