platform feed: failures to read the list of instances are logged

Result: TestFailuresOfTheInstanceListAreLoggedOnce: one line at the first failure of several, one when the list is read again.

--- a/transport/platform/feed.go
+++ b/transport/platform/feed.go
@@ -171,11 +171,18 @@
 	return f.offer(control.Configured{Config: c, Item: it})
 }
 
-// WatchInstances passes on the list of instances until ctx ends.
+// WatchInstances passes on the list of instances until ctx ends. It logs the first of several failures, and their end.
 func (f *Feed) WatchInstances(ctx context.Context) {
-	delay := firstListInterval
+	delay, healthy := firstListInterval, true
 	for ctx.Err() == nil {
 		list, err := f.client.Instances(ctx)
+		switch {
+		case err == nil && !healthy:
+			f.log.Info("list of instances is read again")
+		case err != nil && healthy && ctx.Err() == nil:
+			f.log.Warn("list of instances cannot be read", "error", err)
+		}
+		healthy = err == nil
 		if err == nil && f.offer(control.Listed{Instances: entryInstances(list)}) == nil {
 			delay = ListInterval
 		}
