callerconn: no spinning reader, and slow callers that read on are not closed

After an answer that came before the end of a request's body, the deadline that had ended the reading of the body stayed set, so that await spun until the request had left the queue. maxWriteTime bounded a whole write, up to 1 MB, so that a caller which read it slowly for 30 s was closed although it made progress.

Now await clears the deadline after each wait, which needs no state of its own, and writes are bounded in pieces of 64 KB. Taken out: a Flush that nothing called, two copies of closeNow, the order of a view's regions.

--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -38,15 +38,12 @@
 	return v
 }
 
-// regionsOf returns the regions of servers, sorted by name.
+// regionsOf returns the regions of servers.
 func regionsOf(servers []*Server) []Region {
 	var out []Region
 	for _, m := range servers {
-		i, found := slices.BinarySearchFunc(out, m.Region, func(r Region, name state.RegionName) int {
-			return strings.Compare(string(r.Name), string(name))
-		})
-		if !found {
-			out = slices.Insert(out, i, Region{Name: m.Region, Distance: m.Distance})
+		if !slices.ContainsFunc(out, func(r Region) bool { return r.Name == m.Region }) {
+			out = append(out, Region{Name: m.Region, Distance: m.Distance})
 		}
 	}
 	return out
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -41,7 +41,7 @@
 // Service holds the backend servers of a service that may get requests, and this instance's counters for the service.
 type Service struct {
 	Servers []*Server // sorted by name
-	Regions []Region  // in which there are servers, sorted by name
+	Regions []Region  // in which there are servers
 	*Counters
 }
 
--- a/transport/callerconn/ahead_test.go
+++ b/transport/callerconn/ahead_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"azurebridge/state"
 )
 
 // shortTime is long enough for what must not happen to have happened.
@@ -360,3 +364,74 @@
 	}, testTimeout).Should(Equal(uint64(1)))
 	s.Eventually(s.list, testTimeout).Should(BeEmpty())
 }
+
+// Guards against closing a caller that reads slowly but goes on reading: only one that accepts nothing for maxWriteTime is closed.
+func TestCallerThatReadsSlowlyIsNotClosed(t *testing.T) {
+	s := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 64<<20)) // more than the socket buffers hold
+	}))
+	c := s.caller(t, get("/a"))
+	for range 4 {
+		s.now.Add(int64(maxWriteTime - time.Second))
+		now := state.Instant(s.now.Load())
+		s.Eventually(func() bool {
+			_, err := io.CopyN(io.Discard, c.reader, 1<<20)
+			s.Expect(err).NotTo(HaveOccurred())
+			list := s.list()
+			list[0].mu.Lock()
+			defer list[0].mu.Unlock()
+			return list[0].writing == now
+		}, testTimeout).Should(BeTrue(), "progress starts the time anew")
+		s.expire(0)
+	}
+	s.Expect(s.Stats.SlowReaders.Load()).To(BeZero())
+}
+
+// deadlineConn is a connection on which nothing arrives. Its reads wait, or fail at once while a deadline in the past is set.
+type deadlineConn struct {
+	net.Conn
+	reads   atomic.Int64
+	mu      sync.Mutex
+	expired chan struct{} // closed while the deadline has passed
+}
+
+func (c *deadlineConn) Read([]byte) (int, error) {
+	c.reads.Add(1)
+	c.mu.Lock()
+	expired := c.expired
+	c.mu.Unlock()
+	<-expired
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Equal(past) {
+		close(c.expired)
+	} else {
+		c.expired = make(chan struct{})
+	}
+	return nil
+}
+
+// Guards against a reader that spins while it waits for an answer, because the deadline that has ended the reading of a body is
+// still set.
+func TestReaderDoesNotSpinAfterADeadline(t *testing.T) {
+	g := NewWithT(t)
+	nc := &deadlineConn{expired: make(chan struct{})}
+	c := NewServer(Options{Clock: func() state.Instant { return 1 }}).add(nc)
+	x := newExchange(c, &http.Request{Body: http.NoBody}, nil)
+	c.queue = []*exchange{x}
+	g.Expect(nc.SetReadDeadline(past)).To(Succeed())
+	done := make(chan bool)
+	go func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		done <- c.await(func() bool { return len(c.queue) == 0 })
+	}()
+	g.Eventually(nc.reads.Load, testTimeout).Should(BeNumerically(">=", 1))
+	g.Consistently(nc.reads.Load, shortTime).Should(BeNumerically("<=", 2))
+	c.leaveQueue(x)
+	g.Eventually(done, testTimeout).Should(Receive(BeTrue()))
+}
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -44,7 +44,6 @@
 	queue    []*exchange // requests that are not answered yet, oldest first
 	held     *exchange   // the newest of them, which is started before the reader waits for bytes
 	watching bool        // the reader watches for the caller's leaving while it waits for the queue
-	woken    bool        // a read deadline has been set to end that
 	partial  bool        // bytes have been read that belong to no request of the queue
 	since    state.Instant
 	writing  state.Instant // start of the current write; 0 when there is none
@@ -187,10 +186,7 @@
 		_, err := c.reader.Peek(c.reader.Buffered() + 1)
 		c.mu.Lock()
 		c.watching = false
-		if c.woken {
-			c.woken = false
-			_ = c.SetReadDeadline(time.Time{}) // fails only for a closed connection, whose next read fails as well
-		}
+		_ = c.SetReadDeadline(time.Time{}) // fails only for a closed connection, whose next read fails as well
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
@@ -249,11 +245,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // fails only for a closed connection
 		_, _ = io.Copy(io.Discard, c.Conn)                // until the caller closes or the deadline
 	}
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.Conn.Close()
-	c.cancel()
+	c.abort()
 	c.server.remove(c)
 }
 
@@ -289,7 +281,6 @@
 		close(c.queue[0].turn)
 	}
 	if c.watching {
-		c.woken = true
 		_ = c.SetReadDeadline(past) // fails only for a closed connection, whose read fails as well
 	}
 	c.changed.Broadcast()
@@ -297,12 +288,10 @@
 
 // abort closes the connection and cancels its requests.
 func (c *conn) abort() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
 	c.cancel()
-	c.Conn.Close()
-	c.changed.Broadcast()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeNow()
 }
 
 // endedError returns errConnEnded when the connection has been closed or aborted, and nil otherwise. A caller that has only
--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -49,13 +49,22 @@
 	}
 }
 
-// stallTracker writes to the connection and records when a write began, so that expire finds callers that do not read.
+// maxPiece is the max number of bytes of one write, whose time maxWriteTime bounds: a caller that reads slowly makes progress.
+const maxPiece = 64 << 10
+
+// stallTracker writes to the connection and records when a piece was begun, so that expire finds callers that do not read.
 type stallTracker struct{ *conn }
 
-func (g stallTracker) Write(b []byte) (int, error) {
-	g.setWriting(g.server.opts.Clock())
+func (g stallTracker) Write(b []byte) (written int, err error) {
 	defer g.setWriting(0)
-	return g.Conn.Write(b)
+	for len(b) > 0 && err == nil {
+		var n int
+		g.setWriting(g.server.opts.Clock())
+		n, err = g.Conn.Write(b[:min(len(b), maxPiece)])
+		written += n
+		b = b[n:]
+	}
+	return written, err
 }
 
 func (c *conn) setWriting(at state.Instant) {
--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -99,7 +99,7 @@
 		h["Transfer-Encoding"] = []string{"chunked"}
 		w.chunks = httputil.NewChunkedWriter(out)
 	}
-	_, _ = io.WriteString(out, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n") // Flush reports errors
+	_, _ = io.WriteString(out, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n") // finish reports errors
 	_ = h.Write(out)
 	_, _ = io.WriteString(out, "\r\n")
 }
@@ -130,13 +130,6 @@
 	return n, w.err
 }
 
-// Flush sends what has been written so far.
-func (w *response) Flush() {
-	if w.sent && w.err == nil {
-		w.err = w.exchange.conn.writer.Flush()
-	}
-}
-
 // finish completes the answer, and ends the sending side of the connection after the last one. An error means that the answer
 // is not complete.
 func (w *response) finish() error {
@@ -149,7 +142,7 @@
 	case w.framing == counted && w.left > 0:
 		return errIncomplete
 	case w.framing == chunked:
-		_ = w.chunks.Close() // Flush reports errors
+		_ = w.chunks.Close() // finish reports errors
 		_, _ = io.WriteString(w.exchange.conn.writer, "\r\n")
 	}
 	if err := w.exchange.conn.writer.Flush(); err != nil {
