freeport, tests, azb-front: one piece of code for what stood twice

azb-soak and azb-front's tests found free ports by the same code; it is internal/freeport now. A test buffer that gomega has is gone. registerWhenReady polled each 50 ms for the table that TableReady now announces; it registers as before, not once the planned stop has begun.

--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -6,19 +6,18 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"azurebridge/internal/freeport"
 	"azurebridge/platform/standin"
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
@@ -127,34 +126,19 @@
 	return p
 }
 
-// The instances' ports lie below the system's ephemeral ports: an outgoing connection of this or another test could otherwise take
-// a port between its check and its use. Test processes start at different ports of the range.
-const (
-	firstPort = 31_300
-	portCount = 1_400
-)
+// testPorts are the ports of the instances. Test processes start at different ones.
+var testPorts = freeport.Range{First: 31_300, Count: 1_400}
 
-var lastPort atomic.Uint32 // number of ports tried
+func init() { testPorts.Skip(os.Getpid() * 97) }
 
 // freePort returns a loopback address whose port is free for TCP and UDP.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for range portCount {
-		port := firstPort + (os.Getpid()*97+int(lastPort.Add(1)))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
-		}
-		packets, err := net.ListenPacket("udp", address)
-		ln.Close()
-		if err == nil {
-			packets.Close()
-			return netip.MustParseAddrPort(address)
-		}
+	address, err := testPorts.Next()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("all %d ports from %d on are in use", portCount, firstPort)
-	return netip.AddrPort{}
+	return netip.MustParseAddrPort(address)
 }
 
 // usable returns the names of the servers that requests may be sent to.
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -283,11 +283,13 @@
 // registerWhenReady waits for a routing table and then registers the instance, so that no caller is directed to an instance
 // without a table.
 func (p *program) registerWhenReady(ctx context.Context) {
-	const pollInterval = 50 * time.Millisecond
-	for !p.ready() {
-		if !wait.For(ctx, pollInterval) {
-			return
-		}
+	select {
+	case <-p.loop.TableReady():
+	case <-ctx.Done():
+		return
+	}
+	if !p.ready() {
+		return // the planned stop has begun
 	}
 	go metastore.EnsureFleetKey(ctx, p.store, func() bool { return p.loop.View().FleetKey != nil }, p.log.Named("store"))
 	p.registrar.Run(ctx)
--- a/cmd/azb-soak/fleet.go
+++ b/cmd/azb-soak/fleet.go
@@ -2,18 +2,17 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"azurebridge/internal/freeport"
 )
 
 // domains are the failure domains of the deployment, with their regions.
@@ -51,17 +50,17 @@
 	i := &instance{
 		name: fmt.Sprintf("front-%d", number), domain: number % len(domains), binary: binary, dir: dir, link: link,
 	}
-	var ports [5]string
-	for n := range ports {
-		if ports[n], err = freePort(); err != nil {
+	var listen [5]string
+	for n := range listen {
+		if listen[n], err = ports.Next(); err != nil {
 			return nil, err
 		}
 	}
-	i.callers, i.directory, i.ready, i.metrics = ports[0], ports[1], ports[2], ports[3]
+	i.callers, i.directory, i.ready, i.metrics = listen[0], listen[1], listen[2], listen[3]
 	var b strings.Builder
 	d := domains[i.domain]
 	fmt.Fprintf(&b, "[instance]\nname = %s\nregion = %s\ndomain = %s\n", i.name, d.region, d.name)
-	fmt.Fprintf(&b, "[listen]\ncallers = %s\ndirectory = %s\nready = %s\nmetrics = %s\npeers = %s\n", ports[0], ports[1], ports[2], ports[3], ports[4])
+	fmt.Fprintf(&b, "[listen]\ncallers = %s\ndirectory = %s\nready = %s\nmetrics = %s\npeers = %s\n", listen[0], listen[1], listen[2], listen[3], listen[4])
 	fmt.Fprintf(&b, "[store]\naddress = %s\n[limits]\nstop_grace = %s\nretry_ratio = 0.2\nretry_extra = 100\n", link.address(), stopGrace)
 	for _, d := range domains {
 		fmt.Fprintf(&b, "[domain %s]\nregion = %s\n", d.name, d.region)
@@ -78,26 +77,7 @@
 	portsPerBlock = 64
 )
 
-var lastPort atomic.Uint32 // number of ports tried; modulo portsPerBlock, the index of the last one in the block
-
-// freePort returns a loopback address whose port is free for TCP and UDP, or an error when the whole block is in use.
-func freePort() (string, error) {
-	first := firstPort + os.Getpid()%portBlocks*portsPerBlock
-	for range portsPerBlock {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(first+int(lastPort.Add(1)%portsPerBlock)))
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // in use
-		}
-		packets, err := net.ListenPacket("udp", address)
-		ln.Close()
-		if err == nil {
-			packets.Close()
-			return address, nil
-		}
-	}
-	return "", errors.Errorf("all %d ports from %d on are in use", portsPerBlock, first)
-}
+var ports = freeport.Range{First: firstPort + os.Getpid()%portBlocks*portsPerBlock, Count: portsPerBlock}
 
 func (i *instance) path(extension string) string { return filepath.Join(i.dir, i.name+"."+extension) }
 
--- a/transport/platform/feed_test.go
+++ b/transport/platform/feed_test.go
@@ -1,41 +1,22 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"azurebridge/coordination/control"
 	"azurebridge/state"
 )
 
-// syncBuffer is a buffer that is safe for concurrent use.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // Guards against an instance that cannot read the list of instances and tells nobody, and against a line for each failure.
 func TestFailuresOfTheInstanceListAreLoggedOnce(t *testing.T) {
 	g := NewWithT(t)
@@ -49,7 +30,7 @@
 		_, _ = w.Write([]byte(`{"instances":[]}`)) // the client may have left
 	}))
 	t.Cleanup(server.Close)
-	log := &syncBuffer{}
+	log := gbytes.NewBuffer()
 	var listed atomic.Int32
 	feed := NewFeed(New(strings.TrimPrefix(server.URL, "http://")), func(control.Event) error { listed.Add(1); return nil },
 		func() state.Revision { return 0 }, hclog.New(&hclog.LoggerOptions{Output: log}))
@@ -59,6 +40,6 @@
 	g.Eventually(listed.Load, 10*time.Second).Should(BeNumerically(">", 0))
 	cancel()
 	<-done
-	g.Expect(strings.Count(log.String(), "list of instances cannot be read")).To(Equal(1))
-	g.Expect(strings.Count(log.String(), "list of instances is read again")).To(Equal(1))
+	g.Expect(strings.Count(string(log.Contents()), "list of instances cannot be read")).To(Equal(1))
+	g.Expect(strings.Count(string(log.Contents()), "list of instances is read again")).To(Equal(1))
 }
