front: record the limits that backend servers name in their answers

Change: the limit is read, bounded (values that cannot be meant are counted) and kept in the gauge of the server's process. Requests are placed as before. A limit rises or ends only with an answer to a request that was sent after it had last been named, since answers can overtake each other.

--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -47,6 +47,10 @@
 	// headers state one that is no time.
 	Pause    time.Duration
 	BadPause bool
+	// Limit is the number of requests/s that the server takes from all instances together; 0 when it names none. BadLimit means
+	// that the headers state one that is no number, or one beyond the bounds, which is then reduced to them.
+	Limit    float64
+	BadLimit bool
 }
 
 // Request is one request to one backend server.
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -9,6 +9,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/placement"
+	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/transport/backendconn"
 )
@@ -178,6 +179,7 @@
 		server.Distance.Record(a.Connect)
 	}
 	q.recordSignals(server, a.Marks, now)
+	q.recordLimit(server, a.Marks, start, now)
 	if out.acceptable() && !a.NotRun {
 		q.view.Services[q.service].Time.Record(took, server.Gauge.Load(now), server.Slots)
 	}
@@ -218,6 +220,30 @@
 	}
 }
 
+// recordLimit records the limit that the server names in its answer to a request sent at the given time, or that it names none.
+func (q *request) recordLimit(server *catalog.Server, marks backendconn.Marks, sent, now state.Instant) {
+	m := q.m
+	if marks.BadLimit {
+		m.Stats.BadLimits.Add(1)
+	}
+	if marks.WrongServer || marks.BadLimit && marks.Limit == 0 {
+		return // the answer does not tell whether there is a limit
+	}
+	if marks.Limit > 0 {
+		m.Stats.ToLimited.Add(1)
+	}
+	switch server.Gauge.Limit.Record(now, sent, marks.Limit) {
+	case quota.LimitBegun:
+		m.Stats.Limits.Add(1)
+		q.log("backend server names a limit", "server", string(server.Name), "per_s", marks.Limit, "load", server.Gauge.Load(now))
+	case quota.LimitEnded:
+		m.Stats.Limits.Add(1)
+		q.log("backend server names no limit any more", "server", string(server.Name))
+	case quota.LimitAltered:
+		m.Stats.Limits.Add(1)
+	}
+}
+
 // withdrawn reports whether the request must not be sent to the server any more: its caller has left, or the newest view does
 // not allow it. It is called once the connection is open.
 func (q *request) withdrawn(server *catalog.Server) bool {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -78,6 +78,9 @@
 	Leaving   atomic.Uint64 // backend servers that have said in an answer that they leave
 	Paused    atomic.Uint64 // pauses that backend servers have asked for
 	BadPauses atomic.Uint64 // answers with a Retry-After that is no number of seconds
+	Limits    atomic.Uint64 // limits that backend servers have begun to name, changed or ended
+	BadLimits atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
+	ToLimited atomic.Uint64 // requests that were answered by a backend server with a limit
 	InService atomic.Int64  // requests in progress
 }
 
