quota, placement: keep the sum over all instances under the limits that servers name

Callers saw nothing; servers that named a limit got up to twice what it allows (34 requests in 4 s where 22 are allowed).

Cause: the limit binds the sum over all instances, and no instance kept to any part of it. Each one's own requests are far below it (0.25/s at limits of 1.2 to 4.2/s), so that reading the limit alone would have changed nothing.

The first instances by rendezvous hash of the server, as many as may each send once in 4 s under the bound, space their requests; the others share a fifth of the limit at long intervals. No permit is stored and no message needed, so the bound holds for any span, through restarts and with instances that are cut off. Requests that are displaced by a limit add to no queue at other servers; what cannot be served is refused at once. Cold servers use the same senders and pacing.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -112,6 +112,8 @@
 		}
 	case Observed:
 		c.observe(now, ev)
+	case LimitNamed:
+		c.dirty = true
 	case Collect:
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -74,6 +74,10 @@
 	Outcome Outcome
 }
 
+// LimitNamed reports that a backend server has begun to name a limit, has changed it, or names none any more. The limit itself is
+// in the server's gauge.
+type LimitNamed struct{}
+
 // Collect requests the store content that the core knows. Reply must be buffered, because the core must not block.
 type Collect struct{ Reply chan<- StoreContent }
 
@@ -96,6 +100,7 @@
 func (StoreLost) event()      {}
 func (StoreRecovered) event() {}
 func (Observed) event()       {}
+func (LimitNamed) event()     {}
 func (Collect) event()        {}
 func (Limits) event()         {}
 func (Stopping) event()       {}
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -19,6 +19,8 @@
 	ColdPacer quota.Pacer
 	Pause     quota.Pause // the server has asked for no requests until then
 	Limit     quota.NamedLimit
+	// LimitPacer spaces this instance's requests while the server names a limit.
+	LimitPacer quota.Pacer
 
 	leaving atomic.Bool
 
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
@@ -66,11 +67,21 @@
 	limitedUntil := max(m.ColdUntil, m.assumedColdUntil)
 	s.Servers = append(s.Servers, &Server{
 		Backend: m.Backend, LimitedUntil: limitedUntil, EjectedUntil: m.health.ejectedUntil, Gauge: m.gauge,
-		Distance:   c.distanceOf(m.Region),
-		ColdSender: limitedUntil != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
+		Distance:      c.distanceOf(m.Region),
+		ColdSender:    limitedUntil != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
+		LimitInterval: c.limitInterval(m, names),
 	})
 }
 
+// limitInterval returns the min time between two requests of this instance to a server that names a limit, or 0 without one.
+func (c *Core) limitInterval(m *trackedServer, names []state.InstanceName) time.Duration {
+	rate := m.gauge.Limit.Rate()
+	if rate == 0 {
+		return 0
+	}
+	return quota.LimitInterval(rate, c.peakInstances, func(n int) bool { return quota.IsSender(c.opts.Self, names, m.Name, n) })
+}
+
 func (c *Core) distanceOf(region state.RegionName) *Distance {
 	d := c.distances[region]
 	if d == nil {
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
@@ -63,6 +64,25 @@
 	LimitedUntil state.Instant // until then the server is or may be cold, and gets few requests
 	EjectedUntil state.Instant // until then the server is skipped while others are usable
 	ColdSender   bool          // whether this instance may send to the server while it is limited
-	Gauge        *Gauge
-	Distance     *Distance // of this instance from the server's region
+	// LimitInterval is the min time between two requests of this instance while the server names a limit; 0 when it named none.
+	LimitInterval time.Duration
+	Gauge         *Gauge
+	Distance      *Distance // of this instance from the server's region
+}
+
+// WithinLimit reports whether a request may be sent to the server now under the limit that it names, if any. A limit that is
+// newer than the view allows none, since this instance's part of it is not known yet.
+func (s *Server) WithinLimit(now state.Instant) bool {
+	if s.Gauge.Limit.Rate() == 0 {
+		return true
+	}
+	return s.LimitInterval > 0 && s.Gauge.LimitPacer.Ready(now, s.LimitInterval)
+}
+
+// AllowByLimit is as WithinLimit, and counts the request as sent.
+func (s *Server) AllowByLimit(now state.Instant) bool {
+	if s.Gauge.Limit.Rate() == 0 {
+		return true
+	}
+	return s.LimitInterval > 0 && s.Gauge.LimitPacer.Allow(now, s.LimitInterval)
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -1,5 +1,5 @@
-// Package placement chooses the backend server for a request. It is pure: views and time are passed in. The one side effect
-// is that choosing a cold server counts against the pace of requests to it, which the server's gauge holds.
+// Package placement chooses the backend server for a request. It is pure: views and time are passed in. The one side effect is
+// that choosing a server that is cold or names a limit counts against the pace of requests to it, which the server's gauge holds.
 //
 // A backend server handles an object faster when it has handled it lately. Requests for one object therefore go to few
 // servers: all instances rank the servers of a service in the same order for an object, and take the first with free capacity.
@@ -11,6 +11,7 @@
 	"time"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
@@ -35,7 +36,7 @@
 	NoServers         // the service has no server that the route allows
 	Exhausted         // every server that the route allows has been tried
 	Paused            // the remaining servers have asked for no requests for a time
-	Limited           // the remaining servers are cold and must get no more requests for now
+	Limited           // the remaining servers are cold or name a limit, and must get no more requests for now
 	Overloaded        // every considered server is expected to answer too late; see serversPerObject
 )
 
@@ -63,7 +64,8 @@
 	yieldFactor = 1.5
 )
 
-// Choose returns a server for the request, or nil and the reason. Choosing a cold server counts against its pace.
+// Choose returns a server for the request, or nil and the reason. Choosing a server that is cold or names a limit counts against
+// the pace of requests to it.
 func Choose(v *catalog.View, r *Request, now state.Instant) (*catalog.Server, Reason) {
 	s := v.Services[r.Service]
 	if s == nil {
@@ -73,14 +75,21 @@
 	if len(usable) == 0 {
 		return nil, reason
 	}
-	sortCandidates(usable, r, r.localWeight(s))
+	localWeight := r.localWeight(s)
+	sortCandidates(usable, r, localWeight)
+	serviceTime := s.Time.Estimate()
+	maxTime := r.maxExpectedTime(serviceTime)
+	if displaced(s, r, usable[0], localWeight, now) {
+		maxTime = min(maxTime, max(r.Route.TargetLatency, serviceTime))
+	}
 	for len(usable) > 0 {
 		i := pick(usable, r, now)
 		c := usable[i]
-		if serviceTime := s.Time.Estimate(); expectedTime(c.server, serviceTime, now) > r.maxExpectedTime(serviceTime) {
+		if expectedTime(c.server, serviceTime, now) > maxTime {
 			return nil, Overloaded
 		}
-		if !now.Before(c.server.LimitedUntil) || c.server.Gauge.ColdPacer.Allow(now) {
+		cold := now.Before(c.server.LimitedUntil)
+		if (!cold || c.server.Gauge.ColdPacer.Allow(now, quota.ColdInterval)) && c.server.AllowByLimit(now) {
 			return c.server, Chosen
 		}
 		usable = slices.Delete(usable, i, i+1)
@@ -89,9 +98,9 @@
 }
 
 // StillUsable reports whether a server chosen from an older view may still get the request: the newest view has it, in the same
-// incarnation, it has not become cold since, and it neither leaves nor has asked for a pause.
+// incarnation, it has not become cold or begun to name a limit since, and it neither leaves nor has asked for a pause.
 func StillUsable(newest *catalog.View, service state.ServiceName, chosen *catalog.Server, now state.Instant) bool {
-	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) {
+	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) || chosen.LimitInterval == 0 && chosen.Gauge.Limit.Rate() > 0 {
 		return false
 	}
 	s := newest.Server(service, chosen.Name)
@@ -156,7 +165,7 @@
 			reason = max(reason, Paused)
 			continue
 		}
-		if now.Before(s.LimitedUntil) && !s.ColdSender {
+		if now.Before(s.LimitedUntil) && !s.ColdSender || !s.WithinLimit(now) {
 			reason = max(reason, Limited)
 			continue
 		}
@@ -208,6 +217,18 @@
 	return -math.Log((float64(hash>>11)+1)*unit) / slots
 }
 
+// displaced reports whether the object's first server may get no request now because of the limit that it names. At any other
+// server the request takes the full time and evicts objects from the cache, so that it must not add to a queue there: requests
+// for the objects of that server would all be late.
+func displaced(service *catalog.Service, r *Request, first candidate, localWeight float64, now state.Instant) bool {
+	if r.Object == "" || r.Bulk {
+		return false
+	}
+	return slices.ContainsFunc(service.Servers, func(s *catalog.Server) bool {
+		return !s.WithinLimit(now) && r.Route.ServedIn(s.Region) && !slices.Contains(r.Tried, s.Name) && r.rank(s, localWeight) < first.rank
+	})
+}
+
 // pick examines the first serversPerObject candidates, or all of them for a bulk request. It returns the index of the first one
 // with an acceptable utilization, or else of the least utilized one.
 func pick(list []candidate, r *Request, now state.Instant) int {
--- a/coordination/quota/cold.go
+++ b/coordination/quota/cold.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"sync/atomic"
 	"time"
 
 	"azurebridge/state"
@@ -44,14 +43,3 @@
 	}
 	return listed && ahead < n
 }
-
-// Pacer spaces the requests of one instance to one backend server. It is safe for concurrent use.
-type Pacer struct {
-	next atomic.Int64 // state.Instant from which the next request may be sent
-}
-
-// Allow reports whether a request may be sent now. It returns true at most once in each ColdInterval.
-func (p *Pacer) Allow(now state.Instant) bool {
-	next := p.next.Load()
-	return int64(now) >= next && p.next.CompareAndSwap(next, int64(now.Add(ColdInterval)))
-}
--- a/coordination/quota/namedlimit.go
+++ b/coordination/quota/namedlimit.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 
 	"azurebridge/state"
 )
@@ -16,17 +18,13 @@
 // NamedLimit is the number of requests/s that a backend server takes from all instances together, as its answers state it. It is
 // safe for concurrent use.
 type NamedLimit struct {
-	mu      sync.Mutex
-	rate    float64       // requests/s; 0 when the server names no limit
+	bits    atomic.Uint64 // the rate in requests/s, as math.Float64bits; 0 when the server names no limit
+	mu      sync.Mutex    // held by Record
 	namedAt state.Instant // when the last answer that named the rate arrived
 }
 
 // Rate returns the limit in requests/s, or 0 without one.
-func (l *NamedLimit) Rate() float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.rate
-}
+func (l *NamedLimit) Rate() float64 { return math.Float64frombits(l.bits.Load()) }
 
 // LimitChange is how an answer has changed a limit.
 type LimitChange int
@@ -43,12 +41,12 @@
 func (l *NamedLimit) Record(now, sent state.Instant, rate float64) LimitChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.rate
+	before := l.Rate()
 	lower := rate > 0 && (before == 0 || rate < before)
 	if rate != before && !lower && sent.Before(l.namedAt) {
 		return LimitUnchanged
 	}
-	l.rate = rate
+	l.bits.Store(math.Float64bits(rate))
 	if rate > 0 {
 		l.namedAt = now
 	}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -232,16 +232,19 @@
 	if marks.Limit > 0 {
 		m.Stats.ToLimited.Add(1)
 	}
-	switch server.Gauge.Limit.Record(now, sent, marks.Limit) {
+	change := server.Gauge.Limit.Record(now, sent, marks.Limit)
+	if change == quota.LimitUnchanged {
+		return
+	}
+	m.Stats.Limits.Add(1)
+	switch change {
 	case quota.LimitBegun:
-		m.Stats.Limits.Add(1)
+		server.Gauge.LimitPacer.Restart(now.Add(time.Duration(rand.Float64() * float64(quota.LimitStartSpread))))
 		q.log("backend server names a limit", "server", string(server.Name), "per_s", marks.Limit, "load", server.Gauge.Load(now))
 	case quota.LimitEnded:
-		m.Stats.Limits.Add(1)
 		q.log("backend server names no limit any more", "server", string(server.Name))
-	case quota.LimitAltered:
-		m.Stats.Limits.Add(1)
 	}
+	m.opts.Loop.Observe(catalog.LimitNamed{})
 }
 
 // withdrawn reports whether the request must not be sent to the server any more: its caller has left, or the newest view does
