catalog: revisions of the store are a type of their own, ordered by era first

No change of behaviour: all eras are 0 until the platform's client sets them. Every place that compares, keeps or passes on a revision (core, follower, watches, relays, announcements, requests for facts) uses the order of catalog.Revision. Announcements have one field more, so that instances of the version before reject those of this one, and list or watch the store meanwhile; relays and requests for facts stay readable both ways.

Result: the tests of the packages pass with the revisions converted, none changed otherwise.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -268,9 +268,9 @@
 		p.log.Warn("request for the store's items to another instance failed", "error", err.Error())
 	}
 	if err != nil || facts == nil {
-		return nil, 0, false
+		return nil, catalog.Revision{}, false
 	}
-	p.log.Info("received the store's items from another instance", "revision", uint64(facts.Revision), "items", len(facts.Items))
+	p.log.Info("received the store's items from another instance", "revision", facts.Revision.String(), "items", len(facts.Items))
 	return facts.Items, facts.Revision, true
 }
 
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -86,7 +86,7 @@
 		}
 		return int64(v.Table.Version)
 	})
-	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision) })
+	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision.Number) })
 	p.metrics.GetOrRegister("store.era", metrics.NewFunctionalGauge(func() int64 { return int64(p.store.Era()) }))
 	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
 	gauge("control.store_lost", func(v *catalog.View) int64 {
--- a/coordination/catalog/address_test.go
+++ b/coordination/catalog/address_test.go
@@ -21,9 +21,9 @@
 // the one, until the lease of the ended server expires.
 func TestServerWhoseAddressIsReusedIsRemoved(t *testing.T) {
 	const address = "10.0.0.9:80"
-	listed := func(c *Core, items ...Item) { c.Step(testStart, Listed{Revision: c.revision + 1, Items: items}) }
+	listed := func(c *Core, items ...Item) { c.Step(testStart, Listed{Revision: next(c.revision), Items: items}) }
 	changed := func(c *Core, items ...Item) {
-		c.Step(testStart.Add(time.Second), Changed{After: c.revision, Revision: c.revision + 1, Items: items})
+		c.Step(testStart.Add(time.Second), Changed{After: c.revision, Revision: next(c.revision), Items: items})
 	}
 	for name, c := range map[string]struct {
 		play func(c *Core)
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -149,9 +149,9 @@
 // advance records the revision of facts that apply on top of the revision after. It returns false when they are older than the
 // known revision or leave a gap after it, because their values may then be out of date.
 func (c *Core) advance(source Source, after, revision Revision) bool {
-	if revision < c.revision || after > c.revision {
-		c.log("store facts ignored: outdated or not contiguous", "source", source.String(), "after", uint64(after), "revision", uint64(revision),
-			"known", uint64(c.revision))
+	if revision.Before(c.revision) || c.revision.Before(after) {
+		c.log("store facts ignored: outdated or not contiguous", "source", source.String(), "after", after.String(), "revision", revision.String(),
+			"known", c.revision.String())
 		return false
 	}
 	c.revision, c.source = revision, source
@@ -355,7 +355,7 @@
 
 // logFact adds a log entry with the revision and the source of the facts that caused it.
 func (c *Core) logFact(message string, fields ...any) {
-	c.log(message, append(fields, "revision", uint64(c.revision), "source", c.source.String())...)
+	c.log(message, append(fields, "revision", c.revision.String(), "source", c.source.String())...)
 }
 
 func (c *Core) log(message string, fields ...any) {
--- a/coordination/catalog/core_test.go
+++ b/coordination/catalog/core_test.go
@@ -34,6 +34,9 @@
 	return out
 }
 
+// next returns the revision after r.
+func next(r Revision) Revision { return Revision{Era: r.Era, Number: r.Number + 1} }
+
 func names(v *View) []string {
 	var out []string
 	if s := v.Services["search"]; s != nil {
@@ -195,12 +198,12 @@
 	items := append(servers(2), peer(1, "north", "a"),
 		Item{Key: "config", Fact: &routing.Table{Version: 3}}, Item{Key: "evacuate/x", Fact: Evacuation{Domain: "x"}},
 		Item{Key: "key", Fact: FleetKey("secret")})
-	c.Step(testStart, Listed{Revision: 5, Items: items})
+	c.Step(testStart, Listed{Revision: Revision{Number: 5}, Items: items})
 	reply := make(chan StoreContent, 1)
 	c.Step(testStart, Collect{Reply: reply})
 	content := <-reply
 	g.Expect(content.Items).To(ConsistOf(items))
-	g.Expect(content.Revision).To(Equal(Revision(5)))
+	g.Expect(content.Revision).To(Equal(Revision{Number: 5}))
 }
 
 // Guards against a log entry for each server when an instance starts and lists hundreds of them.
@@ -236,13 +239,13 @@
 // another instance that is behind, or from a listing that relayed changes have overtaken.
 func TestOlderStateDoesNotReplaceANewerOne(t *testing.T) {
 	for _, older := range []Event{
-		Listed{Source: FromInstance, Revision: 7, Items: servers(2)},
-		Changed{Source: FromReader, After: 5, Revision: 7, Items: servers(1)},
+		Listed{Source: FromInstance, Revision: Revision{Number: 7}, Items: servers(2)},
+		Changed{Source: FromReader, After: Revision{Number: 5}, Revision: Revision{Number: 7}, Items: servers(1)},
 	} {
 		g := NewWithT(t)
 		c := newTestCore()
-		c.Step(testStart, Listed{Revision: 6, Items: servers(2)})
-		c.Step(testStart, Changed{After: 6, Revision: 9, Items: []Item{draining(0)}})
+		c.Step(testStart, Listed{Revision: Revision{Number: 6}, Items: servers(2)})
+		c.Step(testStart, Changed{After: Revision{Number: 6}, Revision: Revision{Number: 9}, Items: []Item{draining(0)}})
 		c.Step(testStart, older)
 		g.Expect(names(c.View())).To(Equal([]string{"s-01"}))
 		g.Expect(c.View()).To(BeNil(), "an older state changes nothing")
@@ -259,6 +262,6 @@
 	for range massExpiryMinCount {
 		changes = append(changes, server(0), Item{Key: server(0).Key})
 	}
-	c.Step(testStart, Changed{Revision: 2, Items: changes})
+	c.Step(testStart, Changed{Revision: Revision{Number: 2}, Items: changes})
 	g.Expect(names(c.View())).To(HaveLen(massExpiryMinCount - 1))
 }
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -27,9 +27,6 @@
 	Fact Fact
 }
 
-// Revision numbers the changes of the store.
-type Revision uint64
-
 // Source is where facts come from.
 type Source int
 
--- a/coordination/catalog/loop_test.go
+++ b/coordination/catalog/loop_test.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	l := NewLoop(newTestCore(), state.MonotonicClock(), func(LogEntry) {})
 	done.Go(func() { l.Run(ctx) })
-	l.Send(ctx, Listed{Revision: 1, Items: servers(400)})
+	l.Send(ctx, Listed{Revision: Revision{Number: 1}, Items: servers(400)})
 	g.Eventually(func() []string { return names(l.View()) }, 10*time.Second).Should(HaveLen(400))
 	for range 4 {
 		done.Go(func() {
@@ -31,6 +31,6 @@
 		})
 	}
 	g.Eventually(l.Dropped.Load, 10*time.Second).Should(BeNumerically(">", 0), "the queue is full")
-	l.Send(ctx, Changed{After: 1, Revision: 2, Items: []Item{draining(0)}})
+	l.Send(ctx, Changed{After: Revision{Number: 1}, Revision: Revision{Number: 2}, Items: []Item{draining(0)}})
 	g.Eventually(func() []string { return names(l.View()) }, 10*time.Second).Should(HaveLen(399))
 }
--- a/coordination/catalog/order_test.go
+++ b/coordination/catalog/order_test.go
@@ -28,7 +28,7 @@
 // at returns the content of the store at a revision.
 func (h history) at(r Revision) []Item {
 	content := make(map[string]Item)
-	for _, it := range h[:r] {
+	for _, it := range h[:r.Number] {
 		content[it.Key] = it
 	}
 	var out []Item
@@ -44,10 +44,10 @@
 func (h history) drawEvent(t *rapid.T) Event {
 	revision := rapid.IntRange(0, len(h)).Draw(t, "revision")
 	if rapid.Bool().Draw(t, "listing") {
-		return Listed{Revision: Revision(revision), Items: h.at(Revision(revision))}
+		return Listed{Revision: Revision{Number: uint64(revision)}, Items: h.at(Revision{Number: uint64(revision)})}
 	}
 	after := rapid.IntRange(0, revision).Draw(t, "after")
-	return Changed{After: Revision(after), Revision: Revision(revision), Items: h[after:revision]}
+	return Changed{After: Revision{Number: uint64(after)}, Revision: Revision{Number: uint64(revision)}, Items: h[after:revision]}
 }
 
 // Guards against a server that is used again after it has left, because listings, relayed changes and answers of other
@@ -63,8 +63,8 @@
 			c.dirty = true
 			v := c.View()
 			g := NewWithT(t)
-			g.Expect(c.revision).To(BeNumerically(">=", known))
-			g.Expect(names(v)).To(Equal(names(reference.View())), fmt.Sprintf("revision %d of %d", c.revision, len(h)))
+			g.Expect(c.revision.Before(known)).To(BeFalse())
+			g.Expect(names(v)).To(Equal(names(reference.View())), fmt.Sprintf("revision %s of %d", c.revision, len(h)))
 			g.Expect(v.Revision).To(Equal(c.revision))
 			known = c.revision
 		}
--- a/coordination/placement/limits_test.go
+++ b/coordination/placement/limits_test.go
@@ -45,7 +45,7 @@
 type limitSim struct {
 	random    *rand.Rand
 	now       state.Instant
-	number    int // of listings
+	number    uint64 // of listings
 	servers   []*limitedServer
 	instances []*limitInstance
 	pending   []simEvent
@@ -92,7 +92,7 @@
 			known = append(slices.Clone(items[:len(s.servers)]), catalog.Item{Key: string(i.name), Fact: &routing.Peer{Name: i.name}})
 		}
 		if !i.cut || i.view == nil {
-			i.core.Step(s.now, catalog.Listed{Revision: catalog.Revision(s.number), Items: known})
+			i.core.Step(s.now, catalog.Listed{Revision: catalog.Revision{Number: s.number}, Items: known})
 			i.view = i.core.View()
 		}
 	}
--- a/coordination/placement/signals_test.go
+++ b/coordination/placement/signals_test.go
@@ -123,7 +123,7 @@
 		entry := server.entry
 		items = append(items, catalog.Item{Key: string(entry.Name), Fact: &entry})
 	}
-	i.revision++
+	i.revision.Number++
 	i.core.Step(s.now, catalog.Listed{Revision: i.revision, Items: items})
 	i.view = i.core.View()
 }
--- a/protocol/factwire/factwire.go
+++ b/protocol/factwire/factwire.go
@@ -20,15 +20,16 @@
 
 // Facts holds the content of the store as the sending instance knows it, or changes to it.
 type Facts struct {
-	After    catalog.Revision // 0 for the whole content; otherwise Items are the changes after this revision
-	Revision catalog.Revision // of the store, up to which the sender knows its content
+	After    catalog.Revision // number 0 for the whole content; otherwise Items are the changes after this revision
+	Revision catalog.Revision // of the store, up to which the sender knows its content; of the same era as After
 	Age      time.Duration    // time since the store last answered the sender
 	Items    []catalog.Item
 }
 
 type frame struct {
-	After    catalog.Revision `cbor:",omitempty"`
-	Revision catalog.Revision
+	Era      uint64 `cbor:",omitempty"` // of both revisions
+	After    uint64 `cbor:",omitempty"`
+	Revision uint64
 	Age      time.Duration `cbor:",omitempty"`
 	Items    []itemFrame
 }
@@ -48,7 +49,7 @@
 // Encode returns the encoded facts, signed with the fleet key. The key may be empty; instances that know a key then reject the
 // facts. It fails on a fact of unknown type.
 func Encode(key []byte, facts *Facts) ([]byte, error) {
-	f := frame{After: facts.After, Revision: facts.Revision, Age: facts.Age}
+	f := frame{Era: facts.Revision.Era, After: facts.After.Number, Revision: facts.Revision.Number, Age: facts.Age}
 	for _, it := range facts.Items {
 		out := itemFrame{Key: it.Key}
 		switch fact := it.Fact.(type) {
@@ -97,7 +98,9 @@
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode facts")
 	}
-	out := &Facts{After: f.After, Revision: f.Revision, Age: f.Age}
+	out := &Facts{
+		After: catalog.Revision{Era: f.Era, Number: f.After}, Revision: catalog.Revision{Era: f.Era, Number: f.Revision}, Age: f.Age,
+	}
 	for _, it := range f.Items {
 		fact, err := it.fact()
 		if err != nil {
--- a/protocol/factwire/factwire_test.go
+++ b/protocol/factwire/factwire_test.go
@@ -27,7 +27,7 @@
 		}},
 	}
 	table.Index()
-	return &Facts{After: 6, Revision: 9, Age: time.Second, Items: []catalog.Item{
+	return &Facts{After: catalog.Revision{Number: 6}, Revision: catalog.Revision{Number: 9}, Age: time.Second, Items: []catalog.Item{
 		{Key: "config", Fact: table},
 		{Key: "server", Fact: &routing.Backend{Name: "s-1", Service: "search", Slots: 4, ColdUntil: state.Instant(time.Second)}},
 		{Key: "evacuation", Fact: catalog.Evacuation{Domain: "north-a"}},
@@ -126,7 +126,7 @@
 		table.Routes = append(table.Routes, r)
 	}
 	table.Index()
-	facts := &Facts{After: 6, Revision: 9, Items: []catalog.Item{{Key: "config", Fact: table}}}
+	facts := &Facts{After: catalog.Revision{Number: 6}, Revision: catalog.Revision{Number: 9}, Items: []catalog.Item{{Key: "config", Fact: table}}}
 	data, err := Encode(key, facts)
 	g.Expect(err).NotTo(HaveOccurred())
 	plain, err := cbor.Marshal(table)
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -21,10 +21,11 @@
 
 // frame is the encoded form of a message, a CBOR array in field order.
 type frame struct {
-	_        struct{} `cbor:",toarray"`
-	From     string
-	Region   string
-	Revision catalog.Revision
+	_      struct{} `cbor:",toarray"`
+	From   string
+	Region string
+	Number uint64
+	Era    uint64
 }
 
 // Encode returns the signed datagram of a message. It fails when the datagram would exceed MaxSize or the key is empty.
@@ -32,7 +33,7 @@
 	if len(key) == 0 {
 		return nil, errors.New("encode message: no fleet key")
 	}
-	f := frame{From: string(m.From), Region: string(m.Region), Revision: m.Revision}
+	f := frame{From: string(m.From), Region: string(m.Region), Number: m.Revision.Number, Era: m.Revision.Era}
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
@@ -72,7 +73,7 @@
 		return nil, errors.Wrap(err, "decode message")
 	}
 	return &gossip.Message{
-		From: state.InstanceName(f.From), Region: state.RegionName(f.Region), Revision: f.Revision,
+		From: state.InstanceName(f.From), Region: state.RegionName(f.Region), Revision: catalog.Revision{Era: f.Era, Number: f.Number},
 	}, nil
 }
 
--- a/protocol/gossipwire/gossipwire_test.go
+++ b/protocol/gossipwire/gossipwire_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
 )
 
@@ -13,7 +14,7 @@
 // Guards against a message that changes when it is encoded and decoded.
 func TestRoundTrip(t *testing.T) {
 	g := NewWithT(t)
-	m := &gossip.Message{From: "front-1", Region: "north", Revision: 1 << 40}
+	m := &gossip.Message{From: "front-1", Region: "north", Revision: catalog.Revision{Era: 3, Number: 1 << 40}}
 	data, err := Encode(key, m)
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := Decode(key, data)
@@ -24,7 +25,7 @@
 // Guards against accepting messages from outside the fleet: a changed byte, another key and an empty key are all errors.
 func TestWronglySignedMessagesAreRejected(t *testing.T) {
 	g := NewWithT(t)
-	data, err := Encode(key, &gossip.Message{From: "front-1", Revision: 7})
+	data, err := Encode(key, &gossip.Message{From: "front-1", Revision: catalog.Revision{Number: 7}})
 	g.Expect(err).NotTo(HaveOccurred())
 	for i := range data {
 		changed := append([]byte(nil), data...)
--- a/transport/front/departure_test.go
+++ b/transport/front/departure_test.go
@@ -94,12 +94,12 @@
 
 // list gives the instance the routing table and the servers.
 func (s *fixture) list() {
-	s.loop.Send(context.Background(), catalog.Listed{Revision: 1, Items: s.items})
+	s.loop.Send(context.Background(), catalog.Listed{Revision: catalog.Revision{Number: 1}, Items: s.items})
 }
 
 // drain marks the servers with the given addresses as draining, and waits until they get no new requests.
 func (s *fixture) drain(addresses ...string) {
-	change := catalog.Changed{After: 1, Revision: 2}
+	change := catalog.Changed{After: catalog.Revision{Number: 1}, Revision: catalog.Revision{Number: 2}}
 	for _, it := range s.items {
 		if server, ok := it.Fact.(*routing.Backend); ok && slices.Contains(addresses, server.Address) {
 			b := *server
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -258,8 +258,8 @@
 		return false
 	}
 	q.m.Stats.Withdrawn.Add(1)
-	q.log("request withdrawn from a server that has left", "server", string(server.Name), "revision", uint64(q.view.Revision),
-		"newest", uint64(newest.Revision))
+	q.log("request withdrawn from a server that has left", "server", string(server.Name), "revision", q.view.Revision.String(),
+		"newest", newest.Revision.String())
 	return true
 }
 
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -77,8 +77,8 @@
 	Stats FollowerStats
 
 	tables   tableTracker
-	revision atomic.Uint64 // revision up to which this instance knows the store
-	relist   chan struct{} // a signal requests a new listing from Run
+	revision atomic.Pointer[catalog.Revision] // up to which this instance knows the store; nil before the first
+	relist   chan struct{}                    // a signal requests a new listing from Run
 }
 
 // FollowerStats counts the follower's calls.
@@ -98,16 +98,21 @@
 }
 
 // Revision returns the revision up to which this instance knows the store.
-func (f *Follower) Revision() catalog.Revision { return catalog.Revision(f.revision.Load()) }
+func (f *Follower) Revision() catalog.Revision {
+	if r := f.revision.Load(); r != nil {
+		return *r
+	}
+	return catalog.Revision{}
+}
 
 // ReportRevision reports the revision up to which another instance knows the store. When this instance does not reach that
 // revision within relistDelay, the follower lists again.
 func (f *Follower) ReportRevision(revision catalog.Revision) {
-	if revision <= f.Revision() {
+	if !f.Revision().Before(revision) {
 		return
 	}
 	time.AfterFunc(relistDelay, func() {
-		if revision <= f.Revision() {
+		if !f.Revision().Before(revision) {
 			return
 		}
 		f.Relist()
@@ -128,7 +133,7 @@
 	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
-		if !listed && f.Revision() > 0 && f.stale() {
+		if !listed && !f.Revision().IsZero() && f.stale() {
 			listed = f.ask(ctx) // first, because a listing may take seconds to fail
 		}
 		switch {
@@ -149,11 +154,11 @@
 			backoff = minBackoff
 		case errors.Is(err, errRelistRequested), errors.Is(err, errMissedChanges), errors.Is(err, errRelayGap):
 			f.Stats.Abandoned.Add(1)
-			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", uint64(f.Revision()), "why", err.Error())
+			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", f.Revision().String(), "why", err.Error())
 			listed, gap = false, errors.Is(err, errRelayGap)
 		case errors.Is(err, ErrCompacted):
 			f.Stats.Compacted.Add(1)
-			f.opts.Log.Warn("store history compacted; listing again", "revision", uint64(f.Revision()))
+			f.opts.Log.Warn("store history compacted; listing again", "revision", f.Revision().String())
 			listed = false
 		default:
 			f.reportFailure(ctx, err)
@@ -179,10 +184,10 @@
 	newest := catalog.Listed{Source: catalog.FromInstance, Revision: known}
 	for range askTries {
 		items, revision, ok := f.opts.Ask(call, known)
-		if ok && revision > newest.Revision {
+		if ok && newest.Revision.Before(revision) {
 			newest.Items, newest.Revision = items, revision
 		}
-		if known > 0 && newest.Revision > known {
+		if !known.IsZero() && known.Before(newest.Revision) {
 			break
 		}
 	}
@@ -192,7 +197,7 @@
 	f.Stats.Asked.Add(1)
 	f.tables.update(newest.Items)
 	f.opts.Sink.Send(ctx, newest)
-	f.revision.Store(uint64(newest.Revision))
+	f.revision.Store(&newest.Revision)
 	return true
 }
 
@@ -210,13 +215,13 @@
 	f.tables.update(items)
 	f.opts.Sink.Send(ctx, catalog.Listed{Source: catalog.FromListing, Revision: revision, Items: items})
 	f.opts.Publish(&factwire.Facts{After: revision, Revision: revision})
-	f.revision.Store(uint64(revision))
+	f.revision.Store(&revision)
 	return nil
 }
 
 // followRelays applies the changes that the readers relay until the relays are no longer complete.
 func (f *Follower) followRelays(ctx context.Context) error {
-	f.opts.Log.Info("readers relay the store's changes", "revision", uint64(f.Revision()))
+	f.opts.Log.Info("readers relay the store's changes", "revision", f.Revision().String())
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,7 +230,7 @@
 			return errRelistRequested
 		case <-f.opts.Relays.CoverageChanged():
 			if !f.opts.Relays.Covered() {
-				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", uint64(f.Revision()))
+				f.opts.Log.Warn("readers no longer relay the store's changes; watching it", "revision", f.Revision().String())
 				return nil
 			}
 		case d := <-f.opts.Relays.Deltas():
@@ -238,15 +243,15 @@
 
 // applyRelayed applies the changes that a reader has relayed. It returns errRelayGap when earlier changes are missing.
 func (f *Follower) applyRelayed(ctx context.Context, d *factwire.Facts) error {
-	if d.Revision <= f.Revision() {
+	if !f.Revision().Before(d.Revision) {
 		return nil
 	}
-	if d.After > f.Revision() {
+	if f.Revision().Before(d.After) {
 		return errRelayGap
 	}
 	items, err := f.tables.restore(d.Items)
 	switch {
-	case err != nil && d.After < f.Revision():
+	case err != nil && d.After.Before(f.Revision()):
 		f.ReportRevision(d.Revision) // two readers split the changes differently; the other one is about to relay the rest
 		return nil
 	case err != nil:
@@ -256,7 +261,7 @@
 	f.Stats.Relayed.Add(1)
 	f.opts.Sink.Send(ctx, catalog.StoreRecovered{})
 	f.opts.Sink.Send(ctx, catalog.Changed{Source: catalog.FromReader, After: d.After, Revision: d.Revision, Items: items})
-	f.revision.Store(uint64(d.Revision))
+	f.revision.Store(&d.Revision)
 	return nil
 }
 
--- a/transport/metastore/metastore_test.go
+++ b/transport/metastore/metastore_test.go
@@ -19,6 +19,9 @@
 // testTimeout is how long a test waits for something that happens within milliseconds.
 const testTimeout = 10 * time.Second
 
+// at returns a revision of a store without eras.
+func at(number uint64) catalog.Revision { return catalog.Revision{Number: number} }
+
 // fakeStore is a store whose watches a test sets, and which can be unavailable.
 type fakeStore struct {
 	mu            sync.Mutex
@@ -35,7 +38,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
-		return nil, 0, errors.New("no answer")
+		return nil, catalog.Revision{}, errors.New("no answer")
 	}
 	s.lists++
 	return nil, s.revision, nil
@@ -90,7 +93,7 @@
 // blockedWatch is a watch that receives no changes until ctx ends.
 func blockedWatch(ctx context.Context, _ catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, catalog.Revision{}, ctx.Err()
 }
 
 type discardSink struct{}
@@ -153,7 +156,7 @@
 func newOptions(s *fakeStore, sink EventSink, relays *fakeRelays) FollowerOptions {
 	return FollowerOptions{
 		Store: s, Sink: sink, NextWait: func() time.Duration { return time.Hour }, Announce: func(catalog.Revision) {}, Log: hclog.NewNullLogger(),
-		Ask:    func(context.Context, catalog.Revision) ([]catalog.Item, catalog.Revision, bool) { return nil, 0, false },
+		Ask:    func(context.Context, catalog.Revision) ([]catalog.Item, catalog.Revision, bool) { return nil, catalog.Revision{}, false },
 		Relays: relays, Publish: func(*factwire.Facts) {}, Contact: NewContact(state.MonotonicClock()),
 	}
 }
@@ -172,24 +175,24 @@
 // compacts its history. A message from another instance that knows a newer revision must lead to exactly one new listing.
 func TestUnresponsiveWatchIsReplacedWhenAnotherInstanceKnowsMore(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	f := startFollower(t, s, discardSink{})
 	g.Eventually(func() int { n, _ := s.counts(); return n }, testTimeout).Should(Equal(1))
-	s.set(func() { s.revision = 9 })
-	f.ReportRevision(9)
+	s.set(func() { s.revision = at(9) })
+	f.ReportRevision(at(9))
 	g.Eventually(func() int { n, _ := s.counts(); return n }, testTimeout).Should(Equal(2))
-	f.ReportRevision(9)
+	f.ReportRevision(at(9))
 	g.Consistently(func() int { n, _ := s.counts(); return n }, 3*relistDelay).Should(Equal(2))
 }
 
 // Guards against a watch that skips changes: a revision that grows without changes must lead to a new listing.
 func TestIncreasedRevisionWithoutChangesLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7}
+	s := &fakeStore{revision: at(7)}
 	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
-		if after == 7 {
-			s.set(func() { s.revision = 9 })
-			return nil, 9, nil
+		if after == at(7) {
+			s.set(func() { s.revision = at(9) })
+			return nil, at(9), nil
 		}
 		return blockedWatch(ctx, after)
 	}
@@ -200,11 +203,11 @@
 // Guards against an instance that continues without a new listing after the store has compacted its history.
 func TestCompactedHistoryLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7}
+	s := &fakeStore{revision: at(7)}
 	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
-		if after == 7 {
-			s.set(func() { s.revision = 9 })
-			return nil, 0, errors.Wrap(ErrCompacted, "watch")
+		if after == at(7) {
+			s.set(func() { s.revision = at(9) })
+			return nil, catalog.Revision{}, errors.Wrap(ErrCompacted, "watch")
 		}
 		return blockedWatch(ctx, after)
 	}
@@ -216,7 +219,7 @@
 // outage by its own calls and requests a listing.
 func TestOutageSeenByTheRegistrarLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	events := &eventRecorder{}
 	f := startFollower(t, s, events)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -234,7 +237,7 @@
 // Guards against an instance that callers no longer find because its lease expired while the store was unavailable.
 func TestExpiredLeaseIsReplaced(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	r := NewRegistrar(s, discardSink{}, NewContact(state.MonotonicClock()), func() {}, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -248,21 +251,21 @@
 // while the relays are complete.
 func TestRelayedChangesAreAppliedOnce(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	events, relays := &eventRecorder{}, newRelays(true)
 	f := startFollowerWithRelays(t, s, events, relays)
 	first := []catalog.Item{{Key: "a", Fact: catalog.Evacuation{Domain: "north-a"}}}
 	second := []catalog.Item{{Key: "a"}}
-	relays.deltas <- &factwire.Facts{After: 5, Revision: 7}
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 9, Items: first}
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 9, Items: first}
-	relays.deltas <- &factwire.Facts{After: 8, Revision: 11, Items: second}
-	relays.deltas <- &factwire.Facts{After: 9, Revision: 9}
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(11)))
+	relays.deltas <- &factwire.Facts{After: at(5), Revision: at(7)}
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(9), Items: first}
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(9), Items: first}
+	relays.deltas <- &factwire.Facts{After: at(8), Revision: at(11), Items: second}
+	relays.deltas <- &factwire.Facts{After: at(9), Revision: at(9)}
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(11)))
 	g.Expect(events.all()).To(HaveExactElements(
-		catalog.StoreRecovered{}, catalog.Listed{Revision: 7},
-		catalog.StoreRecovered{}, catalog.Changed{Source: catalog.FromReader, After: 7, Revision: 9, Items: first},
-		catalog.StoreRecovered{}, catalog.Changed{Source: catalog.FromReader, After: 8, Revision: 11, Items: second},
+		catalog.StoreRecovered{}, catalog.Listed{Revision: at(7)},
+		catalog.StoreRecovered{}, catalog.Changed{Source: catalog.FromReader, After: at(7), Revision: at(9), Items: first},
+		catalog.StoreRecovered{}, catalog.Changed{Source: catalog.FromReader, After: at(8), Revision: at(11), Items: second},
 	))
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
@@ -272,12 +275,12 @@
 // Guards against an instance that serves by an old configuration because a relayed change has not arrived.
 func TestGapInTheRelayLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	relays := newRelays(true)
 	startFollowerWithRelays(t, s, discardSink{}, relays)
 	g.Eventually(func() int { n, _ := s.counts(); return n }, testTimeout).Should(Equal(1))
-	s.set(func() { s.revision = 9 })
-	relays.deltas <- &factwire.Facts{After: 9, Revision: 9}
+	s.set(func() { s.revision = at(9) })
+	relays.deltas <- &factwire.Facts{After: at(9), Revision: at(9)}
 	g.Eventually(func() int { n, _ := s.counts(); return n }, testTimeout).Should(Equal(2))
 }
 
@@ -286,49 +289,49 @@
 func TestInstanceWithoutReadersWatchesTheStore(t *testing.T) {
 	g := NewWithT(t)
 	watched := make(chan catalog.Revision, 1)
-	s := &fakeStore{revision: 7}
+	s := &fakeStore{revision: at(7)}
 	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
 		watched <- after
 		return blockedWatch(ctx, after)
 	}
 	relays := newRelays(true)
 	f := startFollowerWithRelays(t, s, discardSink{}, relays)
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 9}
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(9)}
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(9)))
 	relays.changed <- struct{}{}
 	g.Consistently(watched, 3*relistDelay).ShouldNot(Receive())
 	relays.covered.Store(false)
 	relays.changed <- struct{}{}
-	g.Eventually(watched, testTimeout).Should(Receive(Equal(catalog.Revision(9))))
+	g.Eventually(watched, testTimeout).Should(Receive(Equal(at(9))))
 }
 
 // Guards against an instance that resets its revision when a listing fails: it would accept older state from another instance
 // and send requests to servers that have left.
 func TestFailedListingKeepsTheRevision(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	asked := make(chan catalog.Revision, 8)
 	f := startAsking(t, s, func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
 		asked <- after
-		return nil, 0, false
+		return nil, catalog.Revision{}, false
 	})
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(7)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(7)))
 	s.set(func() { s.unavailable = true })
 	f.Relist()
-	g.Eventually(asked, testTimeout).Should(Receive(Equal(catalog.Revision(7))))
+	g.Eventually(asked, testTimeout).Should(Receive(Equal(at(7))))
 }
 
 // Guards against an instance whose own watch receives no changes, and that uses its readers again only when the watch ends.
 func TestOwnWatchEndsWhenReadersRelayAgain(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	relays := newRelays(false)
 	f := startFollowerWithRelays(t, s, discardSink{}, relays)
 	g.Eventually(f.Stats.Watches.Load, testTimeout).Should(Equal(uint64(1)))
 	relays.covered.Store(true)
 	relays.changed <- struct{}{}
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 9}
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(9)}
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(9)))
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
 }
@@ -337,18 +340,18 @@
 // some, but not all, of the other instances know of it earlier.
 func TestUnresponsiveStoreLeadsToQueriesDuringTheWatch(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	events := &eventRecorder{}
 	opts := newOptions(s, events, newRelays(false))
 	var asked atomic.Int32
 	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
-		if after >= 9 || asked.Add(1) < askTries {
-			return nil, 0, false
+		if !after.Before(at(9)) || asked.Add(1) < askTries {
+			return nil, catalog.Revision{}, false
 		}
-		return []catalog.Item{{Key: "a", Fact: catalog.Evacuation{Domain: "north-a"}}}, 9, true
+		return []catalog.Item{{Key: "a", Fact: catalog.Evacuation{Domain: "north-a"}}}, at(9), true
 	}
 	f := runFollower(t, opts) // its watch waits for an hour
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(9)))
 	g.Expect(f.Stats.Watches.Load()).To(Equal(uint64(1)), "the watch call must continue")
 	g.Expect(events.all()).To(ContainElement(HaveField("Source", catalog.FromInstance)))
 }
@@ -356,16 +359,16 @@
 // Guards against an instance that waits for a listing of an unresponsive store while other instances know the changes.
 func TestOthersAreAskedBeforeAnUnresponsiveStoreIsListed(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	opts := newOptions(s, discardSink{}, newRelays(true))
 	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
-		return nil, 9, after < 9
+		return nil, at(9), after.Before(at(9))
 	}
 	f := runFollower(t, opts)
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(7)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(7)))
 	g.Eventually(f.stale, testTimeout).Should(BeTrue())
 	f.Relist()
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(9)))
 	lists, _ := s.counts()
 	g.Expect(lists).To(Equal(1))
 }
@@ -377,17 +380,17 @@
 	s := &fakeStore{unavailable: true, watch: blockedWatch}
 	events := &eventRecorder{}
 	opts := newOptions(s, events, newRelays(false))
-	answers := []catalog.Revision{7, 9, 8}
+	answers := []catalog.Revision{at(7), at(9), at(8)}
 	var asked atomic.Int32
 	opts.Ask = func(_ context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
 		revision := answers[int(asked.Add(1)-1)%len(answers)]
-		return nil, revision, revision > after
+		return nil, revision, after.Before(revision)
 	}
 	f := runFollower(t, opts)
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(9)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(9)))
 	for _, ev := range events.all() {
 		if listed, ok := ev.(catalog.Listed); ok {
-			g.Expect(listed.Revision).To(Equal(catalog.Revision(9)), "the older states are not applied")
+			g.Expect(listed.Revision).To(Equal(at(9)), "the older states are not applied")
 		}
 	}
 }
--- a/transport/metastore/table_test.go
+++ b/transport/metastore/table_test.go
@@ -33,19 +33,19 @@
 func TestTableThatGrowsByOneRouteIsNotRelayedWhole(t *testing.T) {
 	const bound = 10e6 / 8 / 48 / 10 // bytes
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7}
+	s := &fakeStore{revision: at(7)}
 	s.watch = func(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, error) {
-		if after > 8 {
+		if after.Number > 8 {
 			return blockedWatch(ctx, after)
 		}
-		return []catalog.Item{{Key: "table", Fact: bigTable(routing.Version(after), 1400+int(after))}}, after + 1, nil
+		return []catalog.Item{{Key: "table", Fact: bigTable(routing.Version(after.Number), 1400+int(after.Number))}}, at(after.Number + 1), nil
 	}
 	published := make(chan *factwire.Facts, 8)
 	opts := newOptions(s, discardSink{}, newRelays(false))
 	opts.Publish = func(f *factwire.Facts) { published <- f }
 	runFollower(t, opts)
-	g.Eventually(published, testTimeout).Should(Receive(HaveField("Revision", catalog.Revision(7))), "the listing")
-	g.Eventually(published, testTimeout).Should(Receive(HaveField("Revision", catalog.Revision(8))), "the first table")
+	g.Eventually(published, testTimeout).Should(Receive(HaveField("Revision", at(7))), "the listing")
+	g.Eventually(published, testTimeout).Should(Receive(HaveField("Revision", at(8))), "the first table")
 	var second *factwire.Facts
 	g.Eventually(published, testTimeout).Should(Receive(&second))
 	message, err := factwire.Encode([]byte("key"), second)
@@ -57,14 +57,14 @@
 // must list the store.
 func TestChangeOfAnUnknownTableLeadsToAListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	events, relays := &eventRecorder{}, newRelays(true)
 	startFollowerWithRelays(t, s, events, relays)
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 8, Items: []catalog.Item{{Key: "table", Fact: bigTable(3, 2)}}}
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(8), Items: []catalog.Item{{Key: "table", Fact: bigTable(3, 2)}}}
 	fits := routing.Diff(bigTable(3, 2), bigTable(4, 3))
-	relays.deltas <- &factwire.Facts{After: 8, Revision: 9, Items: []catalog.Item{{Key: "table", Fact: fits}}}
+	relays.deltas <- &factwire.Facts{After: at(8), Revision: at(9), Items: []catalog.Item{{Key: "table", Fact: fits}}}
 	unknown := routing.Diff(bigTable(5, 4), bigTable(6, 5))
-	relays.deltas <- &factwire.Facts{After: 9, Revision: 10, Items: []catalog.Item{{Key: "table", Fact: unknown}}}
+	relays.deltas <- &factwire.Facts{After: at(9), Revision: at(10), Items: []catalog.Item{{Key: "table", Fact: unknown}}}
 	g.Eventually(func() int { n, _ := s.counts(); return n }, testTimeout).Should(Equal(2))
 	var versions []routing.Version
 	for _, ev := range events.all() {
@@ -79,14 +79,14 @@
 // that does not fit is skipped, and the other reader relays the rest.
 func TestOverlappingChangesOfATableNeedNoListing(t *testing.T) {
 	g := NewWithT(t)
-	s := &fakeStore{revision: 7, watch: blockedWatch}
+	s := &fakeStore{revision: at(7), watch: blockedWatch}
 	events, relays := &eventRecorder{}, newRelays(true)
 	f := startFollowerWithRelays(t, s, events, relays)
-	change := func(after, revision catalog.Revision, from, to int) *factwire.Facts {
+	change := func(after, revision uint64, from, to int) *factwire.Facts {
 		fact := routing.Diff(bigTable(routing.Version(from), from), bigTable(routing.Version(to), to))
-		return &factwire.Facts{After: after, Revision: revision, Items: []catalog.Item{{Key: "table", Fact: fact}}}
+		return &factwire.Facts{After: at(after), Revision: at(revision), Items: []catalog.Item{{Key: "table", Fact: fact}}}
 	}
-	relays.deltas <- &factwire.Facts{After: 7, Revision: 8, Items: []catalog.Item{{Key: "table", Fact: bigTable(1, 1)}}}
+	relays.deltas <- &factwire.Facts{After: at(7), Revision: at(8), Items: []catalog.Item{{Key: "table", Fact: bigTable(1, 1)}}}
 	relays.deltas <- change(8, 9, 1, 2)
 	relays.deltas <- change(8, 10, 1, 3) // from the other reader
 	relays.deltas <- change(9, 10, 2, 3)
@@ -94,7 +94,7 @@
 	known := change(9, 11, 2, 3)
 	known.Items = append(known.Items, departure)
 	relays.deltas <- known // from the other reader
-	g.Eventually(f.Revision, testTimeout).Should(Equal(catalog.Revision(11)))
+	g.Eventually(f.Revision, testTimeout).Should(Equal(at(11)))
 	g.Expect(events.all()).To(ContainElement(HaveField("Items", []catalog.Item{departure})), "the departure after a known table must be applied")
 	g.Consistently(func() int { n, _ := s.counts(); return n }, 2*relistDelay).Should(Equal(1))
 
--- a/transport/metastore/watch.go
+++ b/transport/metastore/watch.go
@@ -47,17 +47,17 @@
 		return nil
 	case err != nil:
 		return err
-	case len(result.items) == 0 && result.revision > after:
+	case len(result.items) == 0 && after.Before(result.revision):
 		return errMissedChanges
 	}
 	f.opts.Contact.Mark()
 	f.opts.Sink.Send(ctx, catalog.StoreRecovered{})
-	if len(result.items) == 0 || result.revision <= f.Revision() {
+	if len(result.items) == 0 || !f.Revision().Before(result.revision) {
 		return nil
 	}
 	f.opts.Sink.Send(ctx, catalog.Changed{Source: catalog.FromWatch, After: after, Revision: result.revision, Items: result.items})
 	f.opts.Publish(&factwire.Facts{After: after, Revision: result.revision, Items: f.tables.diff(result.items)})
-	f.revision.Store(uint64(result.revision))
+	f.revision.Store(&result.revision)
 	wait.For(ctx, watchPause)
 	return nil
 }
--- a/transport/peers/facts.go
+++ b/transport/peers/facts.go
@@ -1,10 +1,12 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -27,12 +29,12 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayPath, relay)
 	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		after, err := parseRevision(r.URL.Query())
 		if err != nil {
-			http.Error(w, "after is not a revision", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if uint64(loop.View().Revision) <= after {
+		if !after.Before(loop.View().Revision) {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -50,6 +52,28 @@
 	return mux
 }
 
+// Parameters of a request for facts: the number and the era of the revision that the requesting instance knows.
+const (
+	afterParameter = "after"
+	eraParameter   = "era" // 0 when missing
+)
+
+func formatRevision(r catalog.Revision) url.Values {
+	return url.Values{afterParameter: {strconv.FormatUint(r.Number, 10)}, eraParameter: {strconv.FormatUint(r.Era, 10)}}
+}
+
+func parseRevision(query url.Values) (catalog.Revision, error) {
+	number, err := strconv.ParseUint(query.Get(afterParameter), 10, 64)
+	if err != nil {
+		return catalog.Revision{}, errors.New("after is not the number of a revision")
+	}
+	era, err := strconv.ParseUint(cmp.Or(query.Get(eraParameter), "0"), 10, 64)
+	if err != nil {
+		return catalog.Revision{}, errors.New("era is not a number")
+	}
+	return catalog.Revision{Era: era, Number: number}, nil
+}
+
 // FactsClient requests from other instances what they know of the store.
 type FactsClient struct {
 	loop   *catalog.Loop
@@ -71,8 +95,8 @@
 	if address == "" {
 		return nil, nil
 	}
-	url := "http://" + address + factsPath + "?after=" + strconv.FormatUint(uint64(after), 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	target := "http://" + address + factsPath + "?" + formatRevision(after).Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "ask %s for facts", address)
 	}
--- a/transport/peers/relay.go
+++ b/transport/peers/relay.go
@@ -129,7 +129,7 @@
 	message, err := factwire.Encode(r.opts.Loop.View().FleetKey, &withAge)
 	if err != nil {
 		r.Stats.Encoding.Add(1)
-		r.opts.Log.Error("changes not relayed", "revision", uint64(facts.Revision), "error", err.Error())
+		r.opts.Log.Error("changes not relayed", "revision", facts.Revision.String(), "error", err.Error())
 		return nil
 	}
 	return factwire.AppendMessage(nil, message)
--- a/transport/peers/relay_test.go
+++ b/transport/peers/relay_test.go
@@ -94,7 +94,7 @@
 	return g
 }
 
-func (rd *reader) currentRevision() catalog.Revision { return catalog.Revision(rd.revision.Load()) }
+func (rd *reader) currentRevision() catalog.Revision { return catalog.Revision{Number: rd.revision.Load()} }
 
 // tamperedWriter changes the bytes of a stream.
 type tamperedWriter struct {
@@ -116,7 +116,7 @@
 	g := newGroup(t, unchanged)
 	g.Expect(g.subscriber.Covered()).To(BeFalse(), "nothing has been received from any reader")
 	g.Eventually(g.subscriber.Covered, testTimeout).Should(BeTrue())
-	change := &factwire.Facts{After: 5, Revision: 6, Items: []catalog.Item{{Key: "north-a", Fact: catalog.Evacuation{Domain: "north-a"}}, {Key: "gone"}}}
+	change := &factwire.Facts{After: catalog.Revision{Number: 5}, Revision: catalog.Revision{Number: 6}, Items: []catalog.Item{{Key: "north-a", Fact: catalog.Evacuation{Domain: "north-a"}}, {Key: "gone"}}}
 	g.readers[0].relay.Publish(change)
 	content := func(f *factwire.Facts) factwire.Facts {
 		return factwire.Facts{After: f.After, Revision: f.Revision, Items: f.Items}
@@ -145,7 +145,7 @@
 		if !tooOld.Load() {
 			return p
 		}
-		message, err := factwire.Encode(key, &factwire.Facts{After: 5, Revision: 5, Age: gossip.MaxTrustAge})
+		message, err := factwire.Encode(key, &factwire.Facts{After: catalog.Revision{Number: 5}, Revision: catalog.Revision{Number: 5}, Age: gossip.MaxTrustAge})
 		if err != nil {
 			panic(err)
 		}
@@ -187,8 +187,8 @@
 	relay.mu.Lock()
 	relay.streams[s] = struct{}{}
 	relay.mu.Unlock()
-	for i := range catalog.Revision(maxRelayQueue + 1) {
-		relay.Publish(&factwire.Facts{After: i, Revision: i + 1})
+	for i := range uint64(maxRelayQueue + 1) {
+		relay.Publish(&factwire.Facts{After: catalog.Revision{Number: i}, Revision: catalog.Revision{Number: i + 1}})
 	}
 	g.Expect(relay.Stats.Dropped.Load()).To(BeNumerically(">=", 1))
 	relay.mu.Lock()
