metastore, platform: states of the store are ordered by era, then number

Cause: a store that returns from a copy gives out revisions again. Instances compared them with those of the lost history, and ignored listings and changes until the numbers had passed it; instances that still passed on the lost history won over the new one.

Change: the platform's client takes the era of each reply into the revision. Watches and listings that touch two eras fail and lead to a listing, the first reply of a later era requests one, and a late reply of an earlier era is an error. All other places use the order of catalog.Revision.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -152,7 +152,7 @@
 // relay of changes between instances, and the registration of the instance itself.
 func (p *program) wireStore(self routing.Peer) {
 	cfg := p.cfg
-	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, p.log.Named("store"))
+	p.store = platform.NewStore(cfg.Store.String(), self, cfg.Regions, func() { p.follower.Relist() }, p.log.Named("store"))
 	p.contact = metastore.NewContact(p.loop.Now)
 	p.readers = peers.NewSubscriber(peers.SubscriberOptions{
 		Self: cfg.Name, Region: cfg.Region, Loop: p.loop, Log: p.log.Named("peers"),
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -86,7 +86,7 @@
 	Lists     atomic.Uint64
 	Watches   atomic.Uint64
 	Failures  atomic.Uint64
-	Compacted atomic.Uint64
+	Compacted atomic.Uint64 // watches and listings whose history the store no longer has
 	Asked     atomic.Uint64 // listings received from another instance
 	Relayed   atomic.Uint64 // messages from readers that were applied
 	Abandoned atomic.Uint64 // watches and relays that may have missed changes
@@ -156,9 +156,9 @@
 			f.Stats.Abandoned.Add(1)
 			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", f.Revision().String(), "why", err.Error())
 			listed, gap = false, errors.Is(err, errRelayGap)
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), errors.Is(err, ErrNewEra):
 			f.Stats.Compacted.Add(1)
-			f.opts.Log.Warn("store history compacted; listing again", "revision", f.Revision().String())
+			f.opts.Log.Warn("store no longer has the history; listing again", "revision", f.Revision().String(), "why", err.Error())
 			listed = false
 		default:
 			f.reportFailure(ctx, err)
@@ -201,9 +201,13 @@
 	return true
 }
 
-// list lists the store, and sends and publishes the result.
+// list lists the store, and sends and publishes the result. It answers an earlier request for a listing.
 func (f *Follower) list(ctx context.Context) error {
 	f.Stats.Lists.Add(1)
+	select {
+	case <-f.relist:
+	default: // none was requested
+	}
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	items, revision, err := f.opts.Store.List(call)
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -31,7 +31,7 @@
 	log      hclog.Logger
 
 	mu      sync.Mutex
-	lease   LeaseID // 0 without one
+	lease   LeaseID // number 0 without one
 	stopped bool
 }
 
@@ -93,7 +93,7 @@
 		return err
 	}
 	*registered = true
-	r.log.Info("instance registered", "lease", uint64(lease))
+	r.log.Info("instance registered", "lease", lease.Number, "era", lease.Era)
 	return nil
 }
 
@@ -118,7 +118,7 @@
 	lease := r.lease
 	r.stopped = true
 	r.mu.Unlock()
-	if lease == 0 {
+	if lease.Number == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/transport/peers/relay_test.go
+++ b/transport/peers/relay_test.go
@@ -94,7 +94,9 @@
 	return g
 }
 
-func (rd *reader) currentRevision() catalog.Revision { return catalog.Revision{Number: rd.revision.Load()} }
+func (rd *reader) currentRevision() catalog.Revision {
+	return catalog.Revision{Number: rd.revision.Load()}
+}
 
 // tamperedWriter changes the bytes of a stream.
 type tamperedWriter struct {
