catalog: a copy of the store withdraws and brings back nothing at once

Cause: a listing of a store that has returned from a copy was taken for what it is otherwise, the newest state of all keys.

Change: keys that the copy lacks stay in use for OutageGrace, unless they are written or deleted in the new era; others are not told of servers among them. Entries of servers from before a known restart or departure are ignored. Routing tables were ordered by version before.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -48,6 +48,7 @@
 	servers       map[string]*trackedServer // by key
 	byAddress     map[string]string         // key of the server that an address belongs to
 	departed      map[string]departure
+	retained      map[string]state.Instant // until when keys stay in use that a copy of the store lacks
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
 	counters      map[state.ServiceName]*Counters
@@ -84,7 +85,7 @@
 // NewCore returns an empty core.
 func NewCore(opts Options) *Core {
 	return &Core{
-		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), evacuated: make(map[string]Evacuation),
+		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), retained: make(map[string]state.Instant), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), distances: make(map[state.RegionName]*Distance), dirty: true,
 	}
 }
@@ -93,9 +94,7 @@
 func (c *Core) Step(now state.Instant, ev Event) {
 	switch ev := ev.(type) {
 	case Listed:
-		if c.advance(ev.Source, c.revision, ev.Revision) {
-			c.applyListing(now, ev.Items)
-		}
+		c.list(now, ev)
 	case Changed:
 		if c.advance(ev.Source, ev.After, ev.Revision) && len(ev.Items) > 0 {
 			c.applyChanges(now, ev.Items)
@@ -138,6 +137,11 @@
 			due = at
 		}
 	}
+	for _, at := range c.retained {
+		if due == 0 || at.Before(due) {
+			due = at
+		}
+	}
 	if c.peakInstances > len(c.peers) {
 		if at := c.peakAt.Add(instanceRetention); due == 0 || at.Before(due) {
 			due = at
@@ -158,32 +162,56 @@
 	return true
 }
 
-// applyListing applies a complete listing: it removes the servers, evacuations and peers that the listing lacks.
+// list applies a listing unless it is outdated.
+func (c *Core) list(now state.Instant, ev Listed) {
+	restored := !c.revision.IsZero() && c.revision.Era < ev.Revision.Era
+	if !c.advance(ev.Source, c.revision, ev.Revision) {
+		return
+	}
+	if restored {
+		c.applyRestored(now, ev.Items)
+		return
+	}
+	c.applyListing(now, ev.Items)
+}
+
+// applyListing applies a complete listing: it removes the servers, evacuations and peers that the listing lacks, unless they are
+// retained.
 func (c *Core) applyListing(now state.Instant, items []Item) {
+	var removed []Item
+	for _, key := range c.missingKeys(items) {
+		if _, ok := c.retained[key]; !ok {
+			removed = append(removed, Item{Key: key})
+		}
+	}
+	c.applyChanges(now, append(removed, items...))
+}
+
+// missingKeys returns the keys of known servers, evacuations, peers and the fleet key that the items lack.
+func (c *Core) missingKeys(items []Item) []string {
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
 		present[it.Key] = it.Fact != nil
 	}
-	removed := items[:0:0]
-	for key := range c.servers {
+	var out []string
+	collect := func(key string) {
 		if !present[key] {
-			removed = append(removed, Item{Key: key})
+			out = append(out, key)
 		}
 	}
+	for key := range c.servers {
+		collect(key)
+	}
 	for key := range c.evacuated {
-		if !present[key] {
-			removed = append(removed, Item{Key: key})
-		}
+		collect(key)
 	}
 	for key := range c.peers {
-		if !present[key] {
-			removed = append(removed, Item{Key: key})
-		}
+		collect(key)
 	}
-	if c.fleetKey != nil && !present[c.fleetKeyKey] {
-		removed = append(removed, Item{Key: c.fleetKeyKey})
+	if c.fleetKey != nil {
+		collect(c.fleetKeyKey)
 	}
-	c.applyChanges(now, append(removed, items...))
+	return out
 }
 
 // applyChanges applies changes of single keys.
@@ -192,6 +220,7 @@
 	logNew := c.countNewServers(items) <= maxServerLogEntries
 	for _, it := range items {
 		c.dirty = true
+		delete(c.retained, it.Key)
 		switch f := it.Fact.(type) {
 		case *routing.Table:
 			c.tableKey = it.Key
@@ -325,8 +354,9 @@
 	}
 }
 
-// expire removes missing servers whose grace period has ended, but none while the store is unavailable.
+// expire removes missing servers and retained keys whose grace period has ended, but none while the store is unavailable.
 func (c *Core) expire(now state.Instant) {
+	c.expireRetained(now)
 	for key, m := range c.servers {
 		if m.missingSince != 0 && !now.Before(m.missingSince.Add(m.grace)) && !c.storeLost {
 			c.removeServer(now, key, m)
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -107,7 +107,7 @@
 		out = append(out, Item{Key: c.tableKey, Fact: c.table})
 	}
 	for key, m := range c.servers {
-		if m.missingSince != 0 {
+		if _, retained := c.retained[key]; retained || m.missingSince != 0 {
 			continue
 		}
 		b := m.Backend
--- /dev/null
+++ b/coordination/catalog/restored.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// applyRestored applies a listing of a store that has returned from a copy. Operators, backend servers and instances write again
+// what the copy lacks: what is known from the lost history stays in use until then, for OutageGrace at most. Entries of servers
+// that are older than what is known are ignored. Routing tables are ordered by their versions in any case.
+func (c *Core) applyRestored(now state.Instant, items []Item) {
+	var changes []Item
+	missing, outdated := c.missingKeys(items), 0
+	for _, key := range missing {
+		if m := c.servers[key]; m != nil && m.Draining {
+			changes = append(changes, Item{Key: key}) // it leaves
+			continue
+		}
+		c.retained[key] = now.Add(OutageGrace)
+	}
+	for _, it := range items {
+		if b, ok := it.Fact.(*routing.Backend); ok && c.supersededInCopy(it.Key, b) {
+			outdated++
+			continue
+		}
+		changes = append(changes, it)
+	}
+	c.log("store returned from a copy", "revision", c.revision.String(), "missing", len(missing), "outdated", outdated)
+	c.applyChanges(now, changes)
+}
+
+// supersededInCopy reports whether a server's entry in a copy of the store is older than what is known of the server: of an earlier
+// process, or from before it began to drain or left.
+func (c *Core) supersededInCopy(key string, b *routing.Backend) bool {
+	if b.Born == 0 {
+		return false // neither processes nor heartbeats can be compared
+	}
+	if m := c.servers[key]; m != nil {
+		return b.Born < m.Born || b.Born == m.Born && (b.Beat < m.Beat || b.Beat == m.Beat && m.Draining && !b.Draining)
+	}
+	d, ok := c.departed[key]
+	return ok && (b.Born < d.born || b.Born == d.born && b.Beat <= d.heartbeat)
+}
+
+// expireRetained removes the keys that a copy of the store lacked and that nobody has written again in time.
+func (c *Core) expireRetained(now state.Instant) {
+	if c.storeLost {
+		return
+	}
+	for key, until := range c.retained {
+		if !now.Before(until) {
+			delete(c.retained, key)
+			c.removeKey(now, key, 0)
+			c.dirty = true
+		}
+	}
+}
