catalog: compute an instance's part of a limit only when it changes

Cause: found by reading. Each view computed the part anew, with a hash for each instance and each server that names a limit: 78,000 hashes a view with 400 such servers and 195 instances.

Change: the part is kept with what it follows from (the rate, the number of instances, a counter of changes of the list).

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -51,6 +51,7 @@
 	retained      map[string]state.Instant // until when keys stay in use that a copy of the store lacks
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
+	peersChanged  uint64 // number of changes of peers
 	counters      map[state.ServiceName]*Counters
 	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
@@ -74,6 +75,8 @@
 	assumedColdUntil state.Instant // the server may be cold until then
 	missingSince     state.Instant // when its entry disappeared, if that may be due to an expired lease; 0 otherwise
 	grace            time.Duration // how long it stays in use after missingSince
+	limitBasis       limitBasis
+	limitInterval    time.Duration // for limitBasis
 }
 
 // LogEntry is a log entry about a change of the control state.
@@ -231,6 +234,7 @@
 			c.evacuate(it.Key, f)
 		case *routing.Peer:
 			c.peers[it.Key] = f
+			c.peersChanged++
 		case FleetKey:
 			c.fleetKey, c.fleetKeyKey = f, it.Key
 		case nil:
@@ -342,7 +346,10 @@
 		c.log("fleet key withdrawn")
 		c.fleetKey = nil
 	}
-	delete(c.peers, key)
+	if c.peers[key] != nil {
+		delete(c.peers, key)
+		c.peersChanged++
+	}
 }
 
 // assumeDomainCold treats the servers of a failure domain as cold until their next heartbeats, for at most AssumedColdTime.
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -79,7 +79,20 @@
 	if rate == 0 {
 		return 0
 	}
-	return quota.LimitInterval(rate, c.peakInstances, func(n int) bool { return quota.IsSender(c.opts.Self, names, m.Name, n) })
+	basis := limitBasis{rate, c.peakInstances, c.peersChanged}
+	if m.limitBasis != basis {
+		m.limitBasis = basis
+		m.limitInterval = quota.LimitInterval(rate, c.peakInstances, func(n int) bool { return quota.IsSender(c.opts.Self, names, m.Name, n) })
+	}
+	return m.limitInterval
+}
+
+// limitBasis is what this instance's part of a server's limit follows from. The part is computed again only when it changes, since
+// that takes a hash for each instance.
+type limitBasis struct {
+	rate         float64
+	instances    int
+	peersChanged uint64
 }
 
 func (c *Core) distanceOf(region state.RegionName) *Distance {
