--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -54,4 +54,7 @@
 check fails leaving FORGET_GAUGE
 check fails leaving NO_CHECK
 check fails leaving ANSWER_FIRST
+check holds eras
+check fails eras NUMBERS_ONLY
+check fails eras WATCH_ACROSS
 exit "$failed"
