--- a/coordination/placement/limits_test.go
+++ b/coordination/placement/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -23,6 +22,7 @@
 	limitExtra    = 5.0
 	limitReaction = 500 * time.Millisecond // after an instance has passed on the first answer that names the limit
 	limitWork     = 300 * time.Millisecond // the longest time that a server takes
+	limitOneWay   = 100 * time.Millisecond // the longest time that a request is on its way
 )
 
 // limitedServer is a backend server with the requests that count against its limit.
@@ -43,19 +43,17 @@
 
 // limitSim runs instances that send to servers with limits, on a simulated clock.
 type limitSim struct {
-	random    *rand.Rand
-	now       state.Instant
+	simClock
 	number    uint64 // of listings
 	servers   []*limitedServer
 	instances []*limitInstance
-	pending   []simEvent
 	broken    string
 	ignore    bool // a broken variant: answers that name limits are not recorded
 	alone     bool // a broken variant: each instance knows no other and takes the whole limit for its own
 }
 
 func newLimitSim(seed uint64, instances, servers int) *limitSim {
-	s := &limitSim{random: rand.New(rand.NewPCG(seed, 2)), now: state.Instant(time.Hour)}
+	s := &limitSim{simClock: newSimClock(seed, 2)}
 	for i := range servers {
 		s.servers = append(s.servers, &limitedServer{name: state.BackendName(fmt.Sprintf("s-%d", i))})
 	}
@@ -115,7 +113,7 @@
 		return
 	}
 	sent, core := s.now, i.core
-	s.after(s.upTo(limitJitterOneWay), func() {
+	s.after(s.upTo(limitOneWay), func() {
 		for _, m := range s.servers {
 			if m.name == chosen.Name {
 				s.arrive(i, core, m, chosen, sent)
@@ -124,9 +122,6 @@
 	})
 }
 
-// limitJitterOneWay is the longest time that a request is on its way.
-const limitJitterOneWay = 100 * time.Millisecond
-
 func (s *limitSim) arrive(i *limitInstance, core *catalog.Core, m *limitedServer, chosen *catalog.Server, sent state.Instant) {
 	heard, ok := i.heard[m.name]
 	if i.core == core && ok && s.now.Sub(heard) >= limitReaction && m.rate > 0 {
@@ -193,15 +188,7 @@
 // run returns how a limit was exceeded, or "".
 func (s *limitSim) run(length time.Duration, perStep float64) string {
 	for end := s.now.Add(length); s.now.Before(end) && s.broken == ""; s.now = s.now.Add(simStep) {
-		due := s.pending
-		s.pending = nil
-		for _, e := range due {
-			if s.now.Before(e.at) {
-				s.pending = append(s.pending, e)
-			} else {
-				e.run()
-			}
-		}
+		s.runDue()
 		for _, i := range s.instances {
 			if s.random.Float64() < perStep {
 				s.request(i)
--- a/coordination/placement/signals_test.go
+++ b/coordination/placement/signals_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -20,7 +19,6 @@
 	leavingBound  = 2500 * time.Millisecond // after an answer that says so, measured at the caller's sending
 	pauseReaction = 500 * time.Millisecond  // after the answer that asks for the pause
 	maxInPause    = 2                       // requests of one instance in the rest of the pause
-	simStep       = 10 * time.Millisecond
 	simLength     = 12 * time.Second
 	maxOneWay     = 200 * time.Millisecond // of a request or an answer, below half of pauseReaction
 	maxDial       = 900 * time.Millisecond
@@ -62,24 +60,12 @@
 // sim runs instances and servers on a simulated clock.
 type sim struct {
 	variant
-	random    *rand.Rand
-	now       state.Instant
+	simClock
 	servers   []*simServer
 	instances []*simInstance
-	pending   []simEvent
 	broken    string
 }
 
-// simEvent is something that happens later.
-type simEvent struct {
-	at  state.Instant
-	run func()
-}
-
-func (s *sim) after(d time.Duration, run func()) {
-	s.pending = append(s.pending, simEvent{s.now.Add(d), run})
-}
-
 // afterOf runs something of an instance later, unless its process has ended meanwhile.
 func (s *sim) afterOf(i *simInstance, d time.Duration, run func()) {
 	since := i.since
@@ -90,10 +76,8 @@
 	})
 }
 
-func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.random.Int64N(int64(d))) }
-
 func newSim(seed uint64, v variant) *sim {
-	s := &sim{variant: v, random: rand.New(rand.NewPCG(seed, 1)), now: state.Instant(time.Hour)}
+	s := &sim{variant: v, simClock: newSimClock(seed, 1)}
 	for i := range 4 {
 		s.servers = append(s.servers, &simServer{entry: routing.Backend{
 			Name: state.BackendName(fmt.Sprintf("s-%d", i)), Service: "search", Address: fmt.Sprintf("10.0.0.%d:80", i), Domain: "north-a",
@@ -241,15 +225,7 @@
 // run returns how a bound was broken, or "".
 func (s *sim) run() string {
 	for end := s.now.Add(simLength); s.now.Before(end) && s.broken == ""; s.now = s.now.Add(simStep) {
-		due := s.pending
-		s.pending = nil
-		for _, e := range due {
-			if s.now.Before(e.at) {
-				s.pending = append(s.pending, e)
-			} else {
-				e.run()
-			}
-		}
+		s.runDue()
 		for _, i := range s.instances {
 			if s.random.IntN(3) == 0 {
 				s.request(i)
