--- a/coordination/catalog/restored.go
+++ b/coordination/catalog/listing.go
@@ -5,6 +5,58 @@
 	"azurebridge/state/routing"
 )
 
+// list applies a listing unless it is outdated.
+func (c *Core) list(now state.Instant, ev Listed) {
+	restored := !c.revision.IsZero() && c.revision.Era < ev.Revision.Era
+	if !c.advance(ev.Source, c.revision, ev.Revision) {
+		return
+	}
+	if restored {
+		c.applyRestored(now, ev.Items)
+		return
+	}
+	c.applyListing(now, ev.Items)
+}
+
+// applyListing applies a complete listing: it removes the servers, evacuations and peers that the listing lacks, unless they are
+// retained.
+func (c *Core) applyListing(now state.Instant, items []Item) {
+	var removed []Item
+	for _, key := range c.missingKeys(items) {
+		if _, ok := c.retained[key]; !ok {
+			removed = append(removed, Item{Key: key})
+		}
+	}
+	c.applyChanges(now, append(removed, items...))
+}
+
+// missingKeys returns the keys of known servers, evacuations, peers and the fleet key that the items lack.
+func (c *Core) missingKeys(items []Item) []string {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = it.Fact != nil
+	}
+	var out []string
+	collect := func(key string) {
+		if !present[key] {
+			out = append(out, key)
+		}
+	}
+	for key := range c.servers {
+		collect(key)
+	}
+	for key := range c.evacuated {
+		collect(key)
+	}
+	for key := range c.peers {
+		collect(key)
+	}
+	if c.fleetKey != nil {
+		collect(c.fleetKeyKey)
+	}
+	return out
+}
+
 // applyRestored applies a listing of a store that has returned from a copy. Operators, backend servers and instances write again
 // what the copy lacks: what is known from the lost history stays in use until then, for OutageGrace at most. Entries of servers
 // that are older than what is known are ignored. Routing tables are ordered by their versions in any case.
