azb-soak: servers that name limits

A new kind of fault lets a server name a limit for up to 12 s; the check counts, for each span of 4 s, the requests from instances that have passed it on.

--- a/cmd/azb-soak/callers.go
+++ b/cmd/azb-soak/callers.go
@@ -36,6 +36,7 @@
 	Body      string
 	Signature string
 	Leaving   bool // the answer says that the server leaves
+	Limited   bool // the answer names a limit of the server
 	Err       error
 }
 
@@ -145,6 +146,7 @@
 		resp.Body.Close()
 		out.Status, out.Body, out.Signature = resp.StatusCode, string(data), resp.Header.Get(standin.SignatureHeader)
 		out.Leaving = resp.Header.Get(standin.LeavingHeader) != ""
+		out.Limited = resp.Header.Get(standin.LimitHeader) != ""
 	}
 	out.End, out.Err = time.Now(), err
 	c.mu.Lock()
--- a/cmd/azb-soak/check.go
+++ b/cmd/azb-soak/check.go
@@ -91,6 +91,7 @@
 		violations = append(violations, tb.checkRecovery()...)
 		violations = append(violations, tb.checkLeaving(runs)...)
 		violations = append(violations, tb.checkPauses()...)
+		violations = append(violations, tb.checkLimits(runs)...)
 	}
 	return violations
 }
--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -2,17 +2,20 @@
 
 import (
 	"fmt"
+	"strconv"
 	"syscall"
 	"time"
 
 	"azurebridge/platform/standin"
 )
 
-// Variants of storeFails, serverFails and serverRepeats.
+// Variants of storeFails, serverFails, serverRepeats and serverLimits.
 var (
 	storeFaults  = []standin.Fault{standin.Busy, standin.TooManyRequests, standin.Reset, standin.NoAnswer, standin.LostReply}
 	serverFaults = []standin.Behaviour{standin.Shed, standin.Fail, standin.Truncate, standin.DropAnswer, standin.Extra, standin.Unsigned}
 	repeats      = []standin.Behaviour{standin.CopyLate, standin.CopyLateUnnamed}
+	// limitsPerSecond are the limits that servers name.
+	limitsPerSecond = []float64{0.5, 1, 2.5, 6}
 )
 
 // apply executes a step, and undoes it when its duration has passed.
@@ -51,6 +54,8 @@
 	case serverRepeats:
 		defer b.disturbances.begin(s.Fault)()
 		tb.setBehaviour(b, repeats[s.Variant%len(repeats)], s.For)
+	case serverLimits:
+		tb.limit(b, limitsPerSecond[s.Variant%len(limitsPerSecond)], s.For)
 	case serverSilent:
 		tb.silence(b, s.For)
 	case drainServer:
@@ -162,6 +167,32 @@
 	tb.violations = append(tb.violations, fmt.Sprintf(format, args...))
 }
 
+// limit lets a server name a limit in its answers for d.
+func (tb *testbed) limit(b *backend, perSecond float64, d time.Duration) {
+	server := b.current()
+	named := &namedLimit{Server: server.ID, PerSecond: perSecond}
+	tb.applyFor("limit of "+server.ID, d, func() {
+		named.From = time.Now()
+		tb.endLimit(server.ID)
+		tb.limits = append(tb.limits, named)
+		server.SetLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}, func() { server.SetLimit("") })
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if named.Until.IsZero() {
+		named.Until = time.Now()
+	}
+}
+
+// endLimit records the end of the limit that a server names, if any. tb.mu is held on entry.
+func (tb *testbed) endLimit(server string) {
+	for _, l := range tb.limits {
+		if l.Server == server && l.Until.IsZero() {
+			l.Until = time.Now()
+		}
+	}
+}
+
 // drain lists a server as draining, and as ready again after d.
 func (tb *testbed) drain(b *backend, d time.Duration) {
 	server := b.current()
--- a/cmd/azb-soak/testbed.go
+++ b/cmd/azb-soak/testbed.go
@@ -41,6 +41,7 @@
 
 	mu               sync.Mutex
 	departures       []*departure
+	limits           []*namedLimit
 	tables           []time.Time    // at index n: when version n+1 was acknowledged
 	absences         map[string]int // number of current absences, by server or failure domain
 	generations      map[string]int // number of the last change to a component, by its name
