azb-soak: a store that returns from a copy

A new kind of fault returns the store to its content of up to 12 s before; 0.3 s later operators and servers write theirs again. Servers are replaced under the lock of the testbed, since the store may return meanwhile.

--- a/cmd/azb-soak/plan.go
+++ b/cmd/azb-soak/plan.go
@@ -32,7 +32,8 @@
 	serverSilent    fault = "server silent"     // its entry is missing for a while; it works on
 	serverRepeats   fault = "server repeats"    // it sends copies of answers late
 
-	serverLimits fault = "server limits" // it names a limit on requests/s in its answers
+	serverLimits  fault = "server limits"  // it names a limit on requests/s in its answers
+	storeRestored fault = "store restored" // it returns from a copy as old as the step is long
 
 	soakStalled fault = "soak stalled" // not a step: azb-soak itself was delayed, so times measured meanwhile are invalid
 )
@@ -41,7 +42,7 @@
 	warmUp       = 2 * time.Second // before the first step, so that the fleet is up
 	recoveryTime = 9 * time.Second // after the last fault: the stability window, and then a period in which callers must be served
 	maxFaultTime = 4 * time.Second // of one fault
-	// maxAbsence is the max duration of a drain, an evacuation or a limit. It exceeds their bounds, so that requests after the bound are
+	// maxAbsence is the max duration of a drain, an evacuation or a limit, and the max age of a copy of the store. It exceeds their bounds, so that requests after the bound are
 	// checked.
 	maxAbsence = 12 * time.Second
 	// minMeanGap and maxMeanGap bound a seed's mean time between two steps. Promises that hold only without disturbance are
@@ -77,7 +78,7 @@
 		steps[i] = newStep(r, kinds, window, length)
 	}
 	steps = append(steps, newServerSteps(seed, window, length)...)
-	steps = append(steps, newLimitSteps(seed, window, length)...)
+	steps = append(steps, newLimitAndCopySteps(seed, window, length)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.At - b.At) })
 	return steps
 }
@@ -90,7 +91,7 @@
 	}
 	maxTime := maxFaultTime
 	switch s.Fault {
-	case drainServer, evacuateDomain, serverLimits:
+	case drainServer, evacuateDomain, serverLimits, storeRestored:
 		maxTime = min(maxAbsence, length-recoveryTime-s.At)
 	}
 	s.For = maxTime/10 + time.Duration(r.Int64N(int64(maxTime*9/10)))
@@ -111,11 +112,11 @@
 	return steps
 }
 
-// newLimitSteps returns further steps, of limits that servers name, from a source of
+// newLimitAndCopySteps returns further steps, of limits that servers name and of a store that returns from a copy, from a source of
 // their own as well.
-func newLimitSteps(seed uint64, window, length time.Duration) []step {
+func newLimitAndCopySteps(seed uint64, window, length time.Duration) []step {
 	r := rand.New(rand.NewPCG(^seed, seed))
-	kinds := []fault{serverLimits}
+	kinds := [][]fault{{serverLimits}, {storeRestored}, {serverLimits, storeRestored}}[r.IntN(3)]
 	steps := make([]step, window/minMeanGap/time.Duration(6+r.IntN(12)))
 	for i := range steps {
 		steps[i] = newStep(r, kinds, window, length)
--- a/cmd/azb-soak/soak_test.go
+++ b/cmd/azb-soak/soak_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 	g.Expect(overlaps).To(BeNumerically(">", 100))
-	g.Expect(seen).To(HaveLen(20), "kinds of faults")
+	g.Expect(seen).To(HaveLen(21), "kinds of faults")
 }
 
 // Guards against a proxy that forwards bytes in a mode that holds them back, or loses bytes that it must deliver.
--- a/cmd/azb-soak/steps.go
+++ b/cmd/azb-soak/steps.go
@@ -56,6 +56,8 @@
 		tb.setBehaviour(b, repeats[s.Variant%len(repeats)], s.For)
 	case serverLimits:
 		tb.limit(b, limitsPerSecond[s.Variant%len(limitsPerSecond)], s.For)
+	case storeRestored:
+		tb.restoreStore(s.For)
 	case serverSilent:
 		tb.silence(b, s.For)
 	case drainServer:
@@ -193,6 +195,36 @@
 	}
 }
 
+// copyGap is the time after which operators and servers write again what a copy of the store lacks.
+const copyGap = 300 * time.Millisecond
+
+// restoreStore returns the store to its content of d ago. After copyGap operators and servers write theirs again.
+func (tb *testbed) restoreStore(d time.Duration) {
+	before := tb.store.Copy()
+	time.Sleep(d)
+	defer tb.disturbances.begin(storeRestored)()
+	tb.store.Restore(before)
+	time.Sleep(copyGap)
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.store.PutTable(len(tb.tables), int(routeTimeout.Milliseconds()), int(targetLatency.Milliseconds()))
+	for _, b := range tb.servers {
+		b.mu.Lock()
+		for _, s := range b.all[:len(b.all)-1] {
+			tb.store.RemoveServer(s.ID)
+		}
+		b.mu.Unlock()
+		tb.putServer(b, tb.listedState(b.current().ID, b.domain))
+	}
+	for n, domain := range domains {
+		if tb.absences[absenceKey("", n)] > 0 {
+			tb.store.Evacuate(domain.name)
+		} else {
+			tb.store.EndEvacuation(domain.name)
+		}
+	}
+}
+
 // drain lists a server as draining, and as ready again after d.
 func (tb *testbed) drain(b *backend, d time.Duration) {
 	server := b.current()
@@ -211,6 +243,8 @@
 		return
 	}
 	defer b.disturbances.begin(replaceServer)()
+	tb.mu.Lock() // the store may return from a copy meanwhile
+	defer tb.mu.Unlock()
 	tb.store.RemoveServer(b.current().ID)
 	b.mu.Lock()
 	b.all, b.since = append(b.all, next), append(b.since, time.Now())
