peers, front: instances tell each other that the limit of a server has ended

Cause: what ends a limit is known only to those that may send.

Both ends name the process of the server.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -131,6 +131,7 @@
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
+		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
 	})
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -116,6 +116,8 @@
 		c.observe(now, ev)
 	case LimitNamed:
 		c.dirty = true
+	case LimitEnded:
+		c.endLimit(ev)
 	case Collect:
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
@@ -267,6 +269,14 @@
 	}
 }
 
+// endLimit ends the limit of a server's process, unless another process has taken its place.
+func (c *Core) endLimit(ev LimitEnded) {
+	m := c.findServer(ev.Server)
+	if m != nil && m.Born == ev.Born && m.gauge.Limit.End() {
+		c.dirty = true
+	}
+}
+
 func (c *Core) evacuate(key string, e Evacuation) {
 	if _, ok := c.evacuated[key]; !ok {
 		c.log("failure domain evacuated", "domain", string(e.Domain))
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -75,6 +75,12 @@
 // in the server's gauge.
 type LimitNamed struct{}
 
+// LimitEnded reports that another instance has seen the limit of a process of a backend server end.
+type LimitEnded struct {
+	Server state.BackendName
+	Born   int64 // start of the process, as in routing.Backend
+}
+
 // Collect requests the store content that the core knows. Reply must be buffered, because the core must not block.
 type Collect struct{ Reply chan<- StoreContent }
 
@@ -98,6 +104,7 @@
 func (StoreRecovered) event() {}
 func (Observed) event()       {}
 func (LimitNamed) event()     {}
+func (LimitEnded) event()     {}
 func (Collect) event()        {}
 func (Limits) event()         {}
 func (Stopping) event()       {}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
@@ -28,11 +29,29 @@
 	soloWatchTimeout = 1500 * time.Millisecond
 )
 
-// Message announces the revision up to which an instance knows the store.
+// Message announces the revision up to which an instance knows the store, and limits of backend servers that it knows to have ended.
 type Message struct {
-	From     state.InstanceName
-	Region   state.RegionName
-	Revision catalog.Revision
+	From        state.InstanceName
+	Region      state.RegionName
+	Revision    catalog.Revision
+	EndedLimits []catalog.LimitEnded
+}
+
+// limitAnnouncers is the number of instances that announce the end of a server's limit to all others: more than one, since a message
+// may be lost.
+const limitAnnouncers = 2
+
+// LimitPeers returns the instances that get a message with the end of a server's limit: all others, when this instance is one of
+// those that announce it. They would otherwise find out with their next request to the server, which may be minutes away.
+func LimitPeers(v *catalog.View, self state.InstanceName, server state.BackendName) []routing.Peer {
+	names := make([]state.InstanceName, 0, len(v.Peers))
+	for _, p := range v.Peers {
+		names = append(names, p.Name)
+	}
+	if !quota.IsSender(self, names, server, limitAnnouncers) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(v.Peers), func(p routing.Peer) bool { return p.Name == self || p.PeerAddress == "" })
 }
 
 // ReaderWatchTimeout returns the timeout of a watch by one of several readers: about watchEndInterval times their number, so
--- a/coordination/quota/namedlimit.go
+++ b/coordination/quota/namedlimit.go
@@ -36,6 +36,13 @@
 	LimitEnded
 )
 
+// End ends the limit, because another instance has seen it end. It returns false when there was none.
+func (l *NamedLimit) End() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return math.Float64frombits(l.bits.Swap(0)) > 0
+}
+
 // Record applies an answer that arrives now and names a rate in requests/s, or none (0). Answers can overtake each other, so that a limit rises or ends only with an answer to a request that was sent after
 // the limit had last been named.
 func (l *NamedLimit) Record(now, sent state.Instant, rate float64) LimitChange {
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -26,6 +26,14 @@
 	Region string
 	Number uint64
 	Era    uint64
+	Ended  []endedFrame
+}
+
+// endedFrame is the encoded form of an ended limit, a CBOR array in field order.
+type endedFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Born   int64
 }
 
 // Encode returns the signed datagram of a message. It fails when the datagram would exceed MaxSize or the key is empty.
@@ -34,6 +42,9 @@
 		return nil, errors.New("encode message: no fleet key")
 	}
 	f := frame{From: string(m.From), Region: string(m.Region), Number: m.Revision.Number, Era: m.Revision.Era}
+	for _, e := range m.EndedLimits {
+		f.Ended = append(f.Ended, endedFrame{Server: string(e.Server), Born: e.Born})
+	}
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
@@ -72,9 +83,13 @@
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode message")
 	}
-	return &gossip.Message{
+	m := &gossip.Message{
 		From: state.InstanceName(f.From), Region: state.RegionName(f.Region), Revision: catalog.Revision{Era: f.Era, Number: f.Number},
-	}, nil
+	}
+	for _, e := range f.Ended {
+		m.EndedLimits = append(m.EndedLimits, catalog.LimitEnded{Server: state.BackendName(e.Server), Born: e.Born})
+	}
+	return m, nil
 }
 
 func computeMAC(key, data []byte) []byte {
--- a/protocol/gossipwire/gossipwire_test.go
+++ b/protocol/gossipwire/gossipwire_test.go
@@ -14,7 +14,7 @@
 // Guards against a message that changes when it is encoded and decoded.
 func TestRoundTrip(t *testing.T) {
 	g := NewWithT(t)
-	m := &gossip.Message{From: "front-1", Region: "north", Revision: catalog.Revision{Era: 3, Number: 1 << 40}}
+	m := &gossip.Message{From: "front-1", Region: "north", Revision: catalog.Revision{Era: 3, Number: 1 << 40}, EndedLimits: []catalog.LimitEnded{{Server: "s-1", Born: 1 << 41}}}
 	data, err := Encode(key, m)
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := Decode(key, data)
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -243,6 +243,7 @@
 		q.log("backend server names a limit", "server", string(server.Name), "per_s", marks.Limit, "load", server.Gauge.Load(now))
 	case quota.LimitEnded:
 		q.log("backend server names no limit any more", "server", string(server.Name))
+		m.opts.OnLimitEnd(catalog.LimitEnded{Server: server.Name, Born: server.Born})
 	}
 	m.opts.Loop.Observe(catalog.LimitNamed{})
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -44,6 +44,8 @@
 	Retry   quota.RetryLimit
 	Log     hclog.Logger
 	Metrics metrics.Registry
+	// OnLimitEnd is called when a backend server names no limit any more. It must not block.
+	OnLimitEnd func(catalog.LimitEnded)
 	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
 	// that is refused meanwhile returns much later.
 	TableWait time.Duration
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -1,6 +1,6 @@
 // Package peers connects an instance with the other instances. Readers, the instances that watch the store for others, relay
-// its changes in streams. Datagrams announce the revision up to which the sender knows the store; a lost or repeated one does
-// no harm. An instance that the store rejects requests all that another instance knows of the store.
+// its changes in streams. Datagrams announce the revision up to which the sender knows the store, and ends of servers' limits; a lost or repeated
+// one does no harm. An instance that the store rejects requests all that another instance knows of the store.
 package peers
 
 import (
@@ -17,6 +17,7 @@
 	"azurebridge/coordination/gossip"
 	"azurebridge/protocol/gossipwire"
 	"azurebridge/state"
+	"azurebridge/state/routing"
 )
 
 // Options are the inputs of a Node.
@@ -29,10 +30,11 @@
 	Log        hclog.Logger
 }
 
-// Node sends and receives the datagrams that announce revisions of the store.
+// Node sends and receives the datagrams that announce revisions of the store and ends of limits.
 type Node struct {
 	opts  Options
 	conn  *net.UDPConn
+	ended chan catalog.LimitEnded // to be announced
 	Stats Stats
 }
 
@@ -42,6 +44,7 @@
 	Received   atomic.Uint64
 	Rejected   atomic.Uint64 // not signed by this fleet, or malformed
 	SendFailed atomic.Uint64
+	EndsMissed atomic.Uint64 // ends of limits that were not announced because the queue was full
 }
 
 // New opens the UDP socket; Run receives from it.
@@ -50,11 +53,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for messages of other instances")
 	}
-	return &Node{opts: opts, conn: conn}, nil
+	return &Node{opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds)}, nil
 }
 
-// Run receives datagrams until ctx ends, and closes the socket.
+// Run receives datagrams and announces ends of limits until ctx ends, and closes the socket.
 func (n *Node) Run(ctx context.Context) {
+	go n.announceEnds(ctx)
 	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
 	defer stop()
 	buffer := make([]byte, gossipwire.MaxSize)
@@ -79,20 +83,27 @@
 	}
 	n.Stats.Received.Add(1)
 	n.opts.OnRevision(m.Revision)
+	for _, e := range m.EndedLimits {
+		n.opts.Loop.Observe(e)
+	}
 }
 
-// Announce announces the revision up to which this instance knows the store to the instances that gossip.Peers selects. It sends
-// nothing without a fleet key.
+// Announce announces the revision up to which this instance knows the store to the instances that gossip.Peers selects.
 func (n *Node) Announce(revision catalog.Revision) {
 	v := n.opts.Loop.View()
-	peers := gossip.Peers(v, n.opts.Self, n.opts.Region, rand.IntN)
+	n.send(v, gossip.Peers(v, n.opts.Self, n.opts.Region, rand.IntN), &gossip.Message{Revision: revision})
+}
+
+// send sends a message of this instance to the peers. It sends nothing without a fleet key.
+func (n *Node) send(v *catalog.View, peers []routing.Peer, m *gossip.Message) {
 	if len(v.FleetKey) == 0 || len(peers) == 0 {
 		return
 	}
-	data, err := gossipwire.Encode(v.FleetKey, &gossip.Message{From: n.opts.Self, Region: n.opts.Region, Revision: revision})
+	m.From, m.Region = n.opts.Self, n.opts.Region
+	data, err := gossipwire.Encode(v.FleetKey, m)
 	if err != nil {
 		n.Stats.SendFailed.Add(1)
-		n.opts.Log.Warn("announcement of the revision could not be encoded", "error", err.Error())
+		n.opts.Log.Warn("message to other instances could not be encoded", "error", err.Error())
 		return
 	}
 	for _, p := range peers {
