catalog: the control goroutine sleeps while the store is unavailable

Cause: NextTick reported the end of a grace period that Tick does not act on while the store is unavailable, so that the timer fired again at once.

Change: removals are due only while the store is available; its recovery is an event that carries them out.

Result: TestNothingIsDueWhileTheStoreIsUnavailable fails without the change.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -131,26 +131,27 @@
 // Tick removes missing servers whose grace period has ended, and updates the instance count.
 func (c *Core) Tick(now state.Instant) { c.expire(now) }
 
-// NextTick returns when Tick is due, and false when no deadline is pending.
+// NextTick returns when Tick is due, and false when no deadline is pending. Nothing is removed while the store is unavailable, so
+// that no removal is due then.
 func (c *Core) NextTick() (state.Instant, bool) {
 	var due state.Instant
-	for _, m := range c.servers {
-		if m.missingSince == 0 {
-			continue
-		}
-		if at := m.missingSince.Add(m.grace); due == 0 || at.Before(due) {
+	earlier := func(at state.Instant) {
+		if due == 0 || at.Before(due) {
 			due = at
 		}
 	}
-	for _, at := range c.retained {
-		if due == 0 || at.Before(due) {
-			due = at
+	if !c.storeLost {
+		for _, m := range c.servers {
+			if m.missingSince != 0 {
+				earlier(m.missingSince.Add(m.grace))
+			}
+		}
+		for _, at := range c.retained {
+			earlier(at)
 		}
 	}
 	if c.peakInstances > len(c.peers) {
-		if at := c.peakAt.Add(instanceRetention); due == 0 || at.Before(due) {
-			due = at
-		}
+		earlier(c.peakAt.Add(instanceRetention))
 	}
 	return due, due != 0
 }
--- a/coordination/catalog/listing_test.go
+++ b/coordination/catalog/listing_test.go
@@ -77,6 +77,22 @@
 	g.Expect(names(c.View())).To(Equal([]string{"s-00", "s-01", "s-03"}), "its next heartbeat shows that it works")
 }
 
+// Guards against a control goroutine that spins while the store is unavailable, because what is due then is not done.
+func TestNothingIsDueWhileTheStoreIsUnavailable(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	c.Step(testStart, Listed{Revision: eraOf(1, 50), Items: servers(8)})
+	c.Step(testStart, Changed{After: eraOf(1, 50), Revision: eraOf(1, 51), Items: []Item{{Key: server(0).Key}, {Key: server(1).Key}, {Key: server(2).Key}, {Key: server(3).Key}}})
+	_, ok := c.NextTick()
+	g.Expect(ok).To(BeTrue(), "four servers are missing")
+	c.Step(testStart, StoreLost{})
+	c.Tick(testStart.Add(time.Minute))
+	_, ok = c.NextTick()
+	g.Expect(ok).To(BeFalse())
+	c.Step(testStart.Add(time.Minute), StoreRecovered{})
+	g.Expect(names(c.View())).To(HaveLen(4))
+}
+
 // addresses gives each server an address of its own.
 func addresses(items []Item) []Item {
 	for _, it := range items {
