catalog: a server of a later copy is not removed

Found by reading: a server that one copy of the store lacks and a second one has in an older form was removed when the time of the first ended.

Result: TestServerOfALaterCopyIsNotRemoved fails without the change. Comments reflowed.

--- a/cmd/azb-soak/plan.go
+++ b/cmd/azb-soak/plan.go
@@ -42,8 +42,8 @@
 	warmUp       = 2 * time.Second // before the first step, so that the fleet is up
 	recoveryTime = 9 * time.Second // after the last fault: the stability window, and then a period in which callers must be served
 	maxFaultTime = 4 * time.Second // of one fault
-	// maxAbsence is the max duration of a drain, an evacuation or a limit, and the max age of a copy of the store. It exceeds their bounds, so that requests after the bound are
-	// checked.
+	// maxAbsence is the max duration of a drain, an evacuation or a limit, and the max age of a copy of the store. It exceeds
+	// their bounds, so that requests after the bound are checked.
 	maxAbsence = 12 * time.Second
 	// minMeanGap and maxMeanGap bound a seed's mean time between two steps. Promises that hold only without disturbance are
 	// checked mainly by seeds with a large gap.
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -13,8 +13,8 @@
 // loadHalfWeightAge is the age at which a reported load counts half.
 const loadHalfWeightAge = 800 * time.Millisecond
 
-// Gauge holds what the traffic goroutines learn of one process of a backend server: its load, its limit,
-// and whether it asks for no further requests. It is retained while the server's entry is missing from the store. It is safe for concurrent use.
+// Gauge holds what the traffic goroutines learn of one process of a backend server: its load, its limit, and whether it asks for
+// no further requests. It is retained while the server's entry is missing from the store. It is safe for concurrent use.
 type Gauge struct {
 	ColdPacer quota.Pacer
 	Pause     quota.Pause // the server has asked for no requests until then
--- a/coordination/catalog/listing.go
+++ b/coordination/catalog/listing.go
@@ -73,6 +73,7 @@
 	for _, it := range items {
 		if b, ok := it.Fact.(*routing.Backend); ok && c.supersededInCopy(it.Key, b) {
 			outdated++
+			delete(c.retained, it.Key) // this copy has it
 			continue
 		}
 		changes = append(changes, it)
--- a/coordination/catalog/listing_test.go
+++ b/coordination/catalog/listing_test.go
@@ -77,6 +77,18 @@
 	g.Expect(names(c.View())).To(Equal([]string{"s-00", "s-01", "s-03"}), "its next heartbeat shows that it works")
 }
 
+// Guards against a server that is removed although a second copy has it, because the first one lacked it.
+func TestServerOfALaterCopyIsNotRemoved(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCore()
+	known := addresses([]Item{beat(0, 7, 5), beat(1, 7, 5)})
+	c.Step(testStart, Listed{Revision: eraOf(1, 50), Items: known})
+	c.Step(testStart, Listed{Revision: eraOf(2, 20), Items: known[:1]})
+	c.Step(testStart, Listed{Revision: eraOf(3, 30), Items: addresses([]Item{beat(0, 7, 5), beat(1, 7, 4)})})
+	c.Tick(testStart.Add(time.Minute))
+	g.Expect(names(viewOf(c))).To(HaveLen(2))
+}
+
 // Guards against a control goroutine that spins while the store is unavailable, because what is due then is not done.
 func TestNothingIsDueWhileTheStoreIsUnavailable(t *testing.T) {
 	g := NewWithT(t)
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -49,8 +49,8 @@
 // Now returns the time of the clock that the view's instants refer to.
 func (l *Loop) Now() state.Instant { return l.clock() }
 
-// Observe enqueues an observation of a traffic goroutine, Observed or LimitNamed, without blocking. It drops and counts the
-// observation when the queue is full.
+// Observe enqueues an observation of a traffic goroutine or another instance (Observed, LimitNamed or LimitEnded) without
+// blocking. It drops and counts the observation when the queue is full.
 func (l *Loop) Observe(o Event) {
 	select {
 	case l.queue <- o:
--- a/coordination/quota/namedlimit.go
+++ b/coordination/quota/namedlimit.go
@@ -19,7 +19,7 @@
 // safe for concurrent use.
 type NamedLimit struct {
 	bits    atomic.Uint64 // the rate in requests/s, as math.Float64bits; 0 when the server names no limit
-	mu      sync.Mutex    // held by Record
+	mu      sync.Mutex    // held while the limit is changed
 	namedAt state.Instant // when the last answer that named the rate arrived
 }
 
@@ -43,8 +43,8 @@
 	return math.Float64frombits(l.bits.Swap(0)) > 0
 }
 
-// Record applies an answer that arrives now and names a rate in requests/s, or none (0). Answers can overtake each other, so that a limit rises or ends only with an answer to a request that was sent after
-// the limit had last been named.
+// Record applies an answer that arrives now and names a rate in requests/s, or none (0). Answers can overtake each other, so that a
+// limit rises or ends only with an answer to a request that was sent after the limit had last been named.
 func (l *NamedLimit) Record(now, sent state.Instant, rate float64) LimitChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
