quota: parts of a limit are numbers of requests in a span, without a pause at the start

Callers of a service whose servers name limits were refused, or served late, although the limits have room.

Cause: an instance's part of a limit was a min interval between two requests, so that a second request for the server's objects went elsewhere although the part allows it; and each instance that heard of a limit sent nothing for one interval and up to 4 s more, so that all objects of the server moved to servers that had not cached them.

Change: a part is a number of requests in any span of 4.5 s. The request that told of the limit counts as sent, no pause follows. The rare requests of instances that are no senders come at intervals that differ between instances.

--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quota"
 	"azurebridge/state/routing"
 	"azurebridge/transport/observe"
 	"azurebridge/transport/status"
@@ -27,16 +28,15 @@
 
 type dumpServer struct {
 	routing.Backend
-	Load      float64 // estimated number of requests at the server
-	LimitedMS int64   // time left for which it is treated as cold
-	EjectedMS int64   // time left for which it is not chosen while others are usable
-	Leaving   bool    // whether it has said in an answer that it leaves
-	PausedMS  int64   // time left for which it has asked for no requests
-	LimitPerS float64 // requests/s that it takes from all instances together; 0 when it names none
-	// LimitIntervalMS is the min time between two requests of this instance under that limit.
-	LimitIntervalMS int64
-	ColdSender      bool  // whether this instance may send to it while it is treated as cold
-	WorkMS          int64 // estimated time of a request of its service
+	Load       float64    // estimated number of requests at the server
+	LimitedMS  int64      // time left for which it is treated as cold
+	EjectedMS  int64      // time left for which it is not chosen while others are usable
+	Leaving    bool       // whether it has said in an answer that it leaves
+	PausedMS   int64      // time left for which it has asked for no requests
+	LimitPerS  float64    // requests/s that it takes from all instances together; 0 when it names none
+	LimitPace  quota.Pace // of this instance under that limit
+	ColdSender bool       // whether this instance may send to it while it is treated as cold
+	WorkMS     int64      // estimated time of a request of its service
 }
 
 func (p *program) dump() any {
@@ -57,7 +57,7 @@
 				Backend: m.Backend, Load: m.Gauge.Load(now), LimitedMS: max(0, m.LimitedUntil.Sub(now).Milliseconds()),
 				EjectedMS: max(0, m.EjectedUntil.Sub(now).Milliseconds()), ColdSender: m.ColdSender,
 				Leaving: m.Gauge.Leaving(), PausedMS: max(0, m.Gauge.Pause.Until().Sub(now).Milliseconds()),
-				LimitPerS: m.Gauge.Limit.Rate(), LimitIntervalMS: m.LimitInterval.Milliseconds(),
+				LimitPerS: m.Gauge.Limit.Rate(), LimitPace: m.LimitPace,
 				WorkMS: s.Time.Estimate().Milliseconds(),
 			})
 		}
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -76,7 +76,7 @@
 	missingSince     state.Instant // when its entry disappeared, if that may be due to an expired lease; 0 otherwise
 	grace            time.Duration // how long it stays in use after missingSince
 	limitBasis       limitBasis
-	limitInterval    time.Duration // for limitBasis
+	limitPace        quota.Pace // for limitBasis
 }
 
 // LogEntry is a log entry about a change of the control state.
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -19,7 +19,7 @@
 	ColdPacer quota.Pacer
 	Pause     quota.Pause // the server has asked for no requests until then
 	Limit     quota.NamedLimit
-	// LimitPacer spaces this instance's requests while the server names a limit.
+	// LimitPacer keeps this instance's requests within its part of the limit.
 	LimitPacer quota.Pacer
 
 	leaving atomic.Bool
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
@@ -67,24 +66,26 @@
 	limitedUntil := max(m.ColdUntil, m.assumedColdUntil)
 	s.Servers = append(s.Servers, &Server{
 		Backend: m.Backend, LimitedUntil: limitedUntil, EjectedUntil: m.health.ejectedUntil, Gauge: m.gauge,
-		Distance:      c.distanceOf(m.Region),
-		ColdSender:    limitedUntil != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
-		LimitInterval: c.limitInterval(m, names),
+		Distance:   c.distanceOf(m.Region),
+		ColdSender: limitedUntil != 0 && quota.IsSender(c.opts.Self, names, m.Name, c.opts.Cold.ColdSenders(rate)),
+		LimitPace:  c.limitPace(m, names),
 	})
 }
 
-// limitInterval returns the min time between two requests of this instance to a server that names a limit, or 0 without one.
-func (c *Core) limitInterval(m *trackedServer, names []state.InstanceName) time.Duration {
+// limitPace returns this instance's part of the limit that a server names, or the zero Pace without one.
+func (c *Core) limitPace(m *trackedServer, names []state.InstanceName) quota.Pace {
 	rate := m.gauge.Limit.Rate()
 	if rate == 0 {
-		return 0
+		return quota.Pace{}
 	}
 	basis := limitBasis{rate, c.peakInstances, c.peersChanged}
 	if m.limitBasis != basis {
 		m.limitBasis = basis
-		m.limitInterval = quota.LimitInterval(rate, c.peakInstances, func(n int) bool { return quota.IsSender(c.opts.Self, names, m.Name, n) })
+		m.limitPace = quota.LimitPace(rate, c.peakInstances, func(n int) bool {
+			return quota.IsSender(c.opts.Self, names, m.Name, n)
+		}, state.RendezvousFraction("interval "+string(m.Name), string(c.opts.Self)))
 	}
-	return m.limitInterval
+	return m.limitPace
 }
 
 // limitBasis is what this instance's part of a server's limit follows from. The part is computed again only when it changes, since
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -1,13 +1,11 @@
 package catalog
 
 import (
-	"cmp"
-	"slices"
-	"time"
-
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
+	"cmp"
+	"slices"
 )
 
 // View is the control state that traffic goroutines read. It is immutable except for the gauges and counters that it points
@@ -64,10 +62,9 @@
 	LimitedUntil state.Instant // until then the server is or may be cold, and gets few requests
 	EjectedUntil state.Instant // until then the server is skipped while others are usable
 	ColdSender   bool          // whether this instance may send to the server while it is limited
-	// LimitInterval is the min time between two requests of this instance while the server names a limit; 0 when it named none.
-	LimitInterval time.Duration
-	Gauge         *Gauge
-	Distance      *Distance // of this instance from the server's region
+	LimitPace    quota.Pace    // of this instance's requests while the server names a limit; zero when it named none
+	Gauge        *Gauge
+	Distance     *Distance // of this instance from the server's region
 }
 
 // WithinLimit reports whether a request may be sent to the server now under the limit that it names, if any. A limit that is
@@ -76,7 +73,7 @@
 	if s.Gauge.Limit.Rate() == 0 {
 		return true
 	}
-	return s.LimitInterval > 0 && s.Gauge.LimitPacer.Ready(now, s.LimitInterval)
+	return s.Gauge.LimitPacer.Ready(now, s.LimitPace)
 }
 
 // AllowByLimit is as WithinLimit, and counts the request as sent.
@@ -84,5 +81,5 @@
 	if s.Gauge.Limit.Rate() == 0 {
 		return true
 	}
-	return s.LimitInterval > 0 && s.Gauge.LimitPacer.Allow(now, s.LimitInterval)
+	return s.Gauge.LimitPacer.Allow(now, s.LimitPace)
 }
--- a/coordination/placement/limits_test.go
+++ b/coordination/placement/limits_test.go
@@ -158,7 +158,7 @@
 		return
 	}
 	if change == quota.LimitBegun {
-		chosen.Gauge.LimitPacer.Restart(s.now.Add(s.upTo(quota.LimitStartSpread)))
+		chosen.Gauge.LimitPacer.Record(s.now)
 	}
 	i.core.Step(s.now, catalog.LimitNamed{})
 	i.view = i.core.View()
@@ -246,9 +246,9 @@
 	second, reason := Choose(v, newRequest("7"), now)
 	g.Expect(reason).To(Equal(Chosen), "without a limit, up to twice the target is accepted")
 	g.Expect(second).To(BeIdenticalTo(first))
-	first.LimitInterval = time.Minute
+	first.LimitPace = quota.Pace{Count: 1, Per: time.Minute}
 	first.Gauge.Limit.Record(now, now, 1)
-	first.Gauge.LimitPacer.Restart(now)
+	first.Gauge.LimitPacer.Record(now)
 	_, reason = Choose(v, newRequest("7"), now)
 	g.Expect(reason).To(Equal(Overloaded))
 	for _, m := range s.Servers {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -89,7 +89,7 @@
 			return nil, Overloaded
 		}
 		cold := now.Before(c.server.LimitedUntil)
-		if (!cold || c.server.Gauge.ColdPacer.Allow(now, quota.ColdInterval)) && c.server.AllowByLimit(now) {
+		if (!cold || c.server.Gauge.ColdPacer.Allow(now, quota.ColdPace)) && c.server.AllowByLimit(now) {
 			return c.server, Chosen
 		}
 		usable = slices.Delete(usable, i, i+1)
@@ -100,7 +100,7 @@
 // StillUsable reports whether a server chosen from an older view may still get the request: the newest view has it, in the same
 // incarnation, it has not become cold or begun to name a limit since, and it neither leaves nor has asked for a pause.
 func StillUsable(newest *catalog.View, service state.ServiceName, chosen *catalog.Server, now state.Instant) bool {
-	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) || chosen.LimitInterval == 0 && chosen.Gauge.Limit.Rate() > 0 {
+	if chosen.Gauge.Leaving() || chosen.Gauge.Pause.Active(now) || chosen.LimitPace.Count == 0 && chosen.Gauge.Limit.Rate() > 0 {
 		return false
 	}
 	s := newest.Server(service, chosen.Name)
@@ -212,9 +212,7 @@
 	if r.Object == "" {
 		return -math.Log(1-r.Random()) / slots
 	}
-	hash := state.RendezvousScore(r.Object, string(s.Name))
-	const unit = 1.0 / (1 << 53)
-	return -math.Log((float64(hash>>11)+1)*unit) / slots
+	return -math.Log(state.RendezvousFraction(r.Object, string(s.Name))) / slots
 }
 
 // displaced reports whether the object's first server may get no request now because of the limit that it names. At any other
--- a/coordination/quota/cold.go
+++ b/coordination/quota/cold.go
@@ -16,8 +16,8 @@
 
 // Pace of one instance towards a cold backend server.
 const (
-	// ColdInterval is the min time between two requests of one instance to one cold backend server.
-	ColdInterval = 500 * time.Millisecond
+	// coldInterval is the min time between two requests of one instance to one cold backend server.
+	coldInterval = 500 * time.Millisecond
 	// coldPerSecond is the max number of requests that reach the server from one instance within any second at that interval,
 	// network delays included.
 	coldPerSecond = 3
@@ -25,6 +25,9 @@
 	coldSafety = 0.9
 )
 
+// ColdPace is the pace of one instance to one cold backend server.
+var ColdPace = Pace{Count: 1, Per: coldInterval}
+
 // ColdSenders returns how many instances may send to one cold backend server, given the cold rate of its service in requests/s.
 func (l ColdLimit) ColdSenders(rate float64) int {
 	return max(1, int(coldSafety*(rate*l.Factor+l.Tolerance)/coldPerSecond))
--- a/coordination/quota/pacer.go
+++ b/coordination/quota/pacer.go
@@ -1,28 +1,65 @@
 package quota
 
 import (
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"azurebridge/state"
 )
 
-// Pacer spaces the requests of one instance to one backend server. It is safe for concurrent use.
+// Pace is a max number of requests in any span of time. The zero Pace allows none.
+type Pace struct {
+	Count int           // MaxPaceCount at most
+	Per   time.Duration // length of the span
+}
+
+// MaxPaceCount bounds the count of a Pace, and so what a Pacer remembers.
+const MaxPaceCount = 16
+
+// Pacer keeps the requests of one instance to one backend server within a pace. It is safe for concurrent use.
 type Pacer struct {
-	last atomic.Int64 // state.Instant of the last request; 0 before the first
+	mu   sync.Mutex
+	sent []state.Instant // times of the last requests, oldest first, MaxPaceCount at most
+}
+
+// Ready reports whether a request may be sent now.
+func (p *Pacer) Ready(now state.Instant, pace Pace) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ready(now, pace)
+}
+
+// ready reports whether a request may be sent now. p.mu is held on entry.
+func (p *Pacer) ready(now state.Instant, pace Pace) bool {
+	if pace.Count == 0 || len(p.sent) < pace.Count {
+		return pace.Count > 0
+	}
+	return now.Sub(p.sent[len(p.sent)-pace.Count]) >= pace.Per
 }
 
-// Ready reports whether a request may be sent now, at least interval after the last one.
-func (p *Pacer) Ready(now state.Instant, interval time.Duration) bool {
-	last := p.last.Load()
-	return last == 0 || now.Sub(state.Instant(last)) >= interval
+// Allow reports whether a request may be sent now, and counts it as sent if so.
+func (p *Pacer) Allow(now state.Instant, pace Pace) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ready(now, pace) {
+		return false
+	}
+	p.append(now)
+	return true
 }
 
-// Allow reports whether a request may be sent now, and counts it as sent. It returns true at most once in each interval.
-func (p *Pacer) Allow(now state.Instant, interval time.Duration) bool {
-	last := p.last.Load()
-	return p.Ready(now, interval) && p.last.CompareAndSwap(last, int64(now))
+// Record counts a request as sent that was sent without asking.
+func (p *Pacer) Record(at state.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.append(at)
 }
 
-// Restart counts a request as sent at the given time, also one to come.
-func (p *Pacer) Restart(at state.Instant) { p.last.Store(int64(at)) }
+// append records a request. p.mu is held on entry.
+func (p *Pacer) append(at state.Instant) {
+	if len(p.sent) == MaxPaceCount {
+		p.sent = slices.Delete(p.sent, 0, 1)
+	}
+	p.sent = append(p.sent, at)
+}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -85,7 +85,7 @@
 		var sent []time.Duration
 		for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
 			for i, p := range peers {
-				if IsSender(p, peers, "s-1", l.ColdSenders(rate)) && pacers[i].Allow(state.Instant(time.Hour).Add(at), ColdInterval) {
+				if IsSender(p, peers, "s-1", l.ColdSenders(rate)) && pacers[i].Allow(state.Instant(time.Hour).Add(at), ColdPace) {
 					sent = append(sent, at)
 				}
 			}
--- a/coordination/quota/share.go
+++ b/coordination/quota/share.go
@@ -21,30 +21,29 @@
 	maxLimitInterval = 10 * time.Minute
 )
 
-// LimitStartSpread is the time over which the instances that hear of a limit together spread their next requests.
-const LimitStartSpread = limitWindow
-
-// LimitInterval returns the min time between two requests of one instance to a server that names a limit of rate requests/s for
-// all instances together. instances is their number; 0 when it is unknown, and then the instance must not use what others may
-// be using. isSender reports whether this instance is among the first n for the server (IsSender).
+// LimitPace returns this instance's part of a limit of rate requests/s, which a server names for all instances together. instances
+// is their number; 0 when it is unknown, and then the instance must not use what others may be using. isSender reports whether this
+// instance is among the first n for the server (IsSender), and spread is a number from 0 to 1 that differs between instances.
 //
-// As many instances are senders as may each send once in limitWindow. They use the limit in equal parts; the others together use
-// probeShare of it.
-func LimitInterval(rate float64, instances int, isSender func(n int) bool) time.Duration {
+// As many instances are senders as may each send once in limitWindow. They have equal parts of the bound; the others together have
+// probeShare of the limit, at intervals that differ, since they may all have heard of the limit at the same time.
+func LimitPace(rate float64, instances int, isSender func(n int) bool, spread float64) Pace {
 	if instances == 0 {
-		return maxLimitInterval
+		return Pace{Count: 1, Per: maxLimitInterval}
 	}
 	inWindow := limitSafety * (limitFactor*rate*limitWindow.Seconds() + limitTolerance)
 	senders := min(instances, max(1, int(inWindow)))
 	if !isSender(senders) {
-		return seconds(float64(instances) / (probeShare * rate))
+		return Pace{Count: 1, Per: seconds((0.5 + spread) * float64(instances) / (probeShare * rate))}
 	}
-	used := limitFactor * rate
+	used := limitFactor * rate // of all senders, in the mean
 	if senders < instances {
 		used -= probeShare * rate
 	}
 	perSender := max(1, int(inWindow)/senders)
-	return max(seconds(float64(senders)/used), (limitWindow+limitJitter)/time.Duration(perSender))
+	parts := (perSender + MaxPaceCount - 1) / MaxPaceCount // of the window, so that the count of each stays within its bound
+	count := perSender / parts
+	return Pace{Count: count, Per: max(seconds(float64(count*senders)/used), (limitWindow+limitJitter)/time.Duration(parts))}
 }
 
 // seconds returns a number of seconds as a duration of at most maxLimitInterval.
--- a/state/ident.go
+++ b/state/ident.go
@@ -69,6 +69,12 @@
 	return d.Sum64()
 }
 
+// RendezvousFraction returns the score as a number above 0 and up to 1.
+func RendezvousFraction(key, candidate string) float64 {
+	const unit = 1.0 / (1 << 53)
+	return (float64(RendezvousScore(key, candidate)>>11) + 1) * unit
+}
+
 // NewIncarnation returns an incarnation for a process that starts at the given wall-clock time. The low bits are
 // random, so that two processes started in the same millisecond differ.
 func NewIncarnation(now time.Time) Incarnation {
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -239,7 +239,7 @@
 	m.Stats.Limits.Add(1)
 	switch change {
 	case quota.LimitBegun:
-		server.Gauge.LimitPacer.Restart(now.Add(time.Duration(rand.Float64() * float64(quota.LimitStartSpread))))
+		server.Gauge.LimitPacer.Record(now)
 		q.log("backend server names a limit", "server", string(server.Name), "per_s", marks.Limit, "load", server.Gauge.Load(now))
 	case quota.LimitEnded:
 		q.log("backend server names no limit any more", "server", string(server.Name))
