--- a/state/routing/change.go
+++ b/state/routing/change.go
@@ -18,11 +18,13 @@
 	Removed  []string // names of routes
 	Services map[state.ServiceName]Service
 	Limits   Limits
+	// Customers are all customers of the new version.
+	Customers []Customer
 }
 
 // Diff returns the change from one table to another.
 func Diff(from, to *Table) *TableChange {
-	c := &TableChange{From: from.Version, Version: to.Version, Services: to.Services, Limits: to.Limits}
+	c := &TableChange{From: from.Version, Version: to.Version, Services: to.Services, Limits: to.Limits, Customers: to.Customers}
 	old := byName(from.Routes)
 	for _, r := range to.Routes {
 		if before, ok := old[r.Name]; !ok || !sameRoute(before, r) {
@@ -47,7 +49,7 @@
 	for _, r := range c.Routes {
 		routes[r.Name] = r
 	}
-	out := &Table{Version: c.Version, Services: c.Services, Limits: c.Limits, Routes: slices.Collect(maps.Values(routes))}
+	out := &Table{Version: c.Version, Services: c.Services, Limits: c.Limits, Customers: c.Customers, Routes: slices.Collect(maps.Values(routes))}
 	if err := out.Validate(); err != nil {
 		return nil, err
 	}
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -19,8 +19,11 @@
 	Routes   []Route
 	Services map[state.ServiceName]Service
 	Limits   Limits
+	// Customers are those that send requests with keys; empty when requests carry none.
+	Customers []Customer
 
 	byHost map[string][]*Route
+	byKey  map[KeyDigest]*Customer
 }
 
 // Route defines how requests of one host below one path prefix are served.
@@ -30,6 +33,7 @@
 	Prefix        string // begins and ends with a slash
 	Idempotent    bool   // whether a request may run more than once
 	Download      bool   // whether responses are large
+	Upload        bool   // whether requests are large
 	Timeout       time.Duration
 	TargetLatency time.Duration      // a response within this time has its full value
 	Priority      int                // 0 is the most urgent
@@ -37,6 +41,8 @@
 	Affinity      bool               // whether a backend server is faster for objects that it has handled lately
 	Parts         []Part             // the services that share the requests; never empty
 	Regions       []state.RegionName // regions that requests may be sent to; empty means all
+	// AllowAnonymous is whether a request without a known key is served where the table has customers.
+	AllowAnonymous bool
 
 	yields bool // a more urgent route uses one of the route's services
 }
@@ -60,8 +66,9 @@
 	IdleTimeout   time.Duration
 }
 
-// Index builds the data for Match and Yields. Call it once, before the table is shared.
+// Index builds the data for Match, CustomerOf and Yields. Call it once, before the table is shared.
 func (t *Table) Index() {
+	t.indexKeys()
 	t.byHost = make(map[string][]*Route)
 	mostUrgent := make(map[state.ServiceName]int) // the priority of the service's most urgent route
 	for i := range t.Routes {
--- a/state/routing/validate.go
+++ b/state/routing/validate.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"azurebridge/state"
 )
 
 // MaxRoutes is the max number of routes in a table.
@@ -22,6 +24,26 @@
 			return errors.Wrapf(err, "route %s", t.Routes[i].Name)
 		}
 	}
+	return t.validateCustomers()
+}
+
+// validateCustomers checks the customers and that no two share a key.
+func (t *Table) validateCustomers() error {
+	owner := make(map[KeyDigest]state.CustomerName)
+	for _, c := range t.Customers {
+		if c.Name == "" {
+			return errors.New("customer has no name")
+		}
+		if !(c.Quota.Rate >= 0) || !(c.Quota.Burst >= 0) {
+			return errors.Errorf("customer %s: has a negative quota", c.Name)
+		}
+		for _, key := range c.Keys {
+			if other, taken := owner[key]; taken && other != c.Name {
+				return errors.Errorf("customer %s: shares a key with customer %s", c.Name, other)
+			}
+			owner[key] = c.Name
+		}
+	}
 	return nil
 }
 
