platform, catalog, placement: read the work time in a server's load

Cause: a load header with a fourth figure, the work time on the server's machine in percent of the usual, was ignored as a whole, so that the loads of these servers were unknown.

The fourth is bounded, kept in the server's gauge with its time, and multiplies the expected time of a request there. It counts half after 300 ms, since work times change about each 600 ms.

Result: a request is no longer placed as if such a server were idle.

--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	reportedLoad int             // requests that the server ran or queued, by its last report
 	reportedAt   state.Instant   // of the last report; 0 before the first
 	sentSince    int             // requests that this instance has sent since the last report
+	slowness     float64         // last reported work time as a multiple of the usual; 0 before the first report
+	slownessAt   state.Instant   // of that report
 }
 
 // SetLeaving records that the server has said that it leaves, which is final for its process. It returns false when that was
@@ -85,6 +88,35 @@
 	return max(own, float64(g.reportedLoad+g.sentSince)*float64(loadHalfWeightAge)/float64(loadHalfWeightAge+age))
 }
 
+// Bounds of a reported work time, as a multiple of the usual. They keep a faulty report from attracting or repelling all requests.
+const (
+	MinSlowness = 0.2
+	MaxSlowness = 10
+)
+
+// slownessHalfWeightAge is the age at which a reported work time counts half. Work times change about each 600 ms, so that a
+// report of that age says little and one of half that age holds in half of the cases.
+const slownessHalfWeightAge = 300 * time.Millisecond
+
+// ReportSlowness records how long work took on the server in a response, as a multiple of the usual.
+func (g *Gauge) ReportSlowness(at state.Instant, slowness float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slowness, g.slownessAt = min(max(slowness, MinSlowness), MaxSlowness), at
+}
+
+// Slowness estimates how long work takes on the server now, as a multiple of the usual. It is 1 for a server that has reported
+// none, and approaches 1 with the age of the last report.
+func (g *Gauge) Slowness(now state.Instant) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slowness == 0 {
+		return 1
+	}
+	age := max(0, now.Sub(g.slownessAt))
+	return 1 + (g.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfWeightAge))
+}
+
 // ServiceTime estimates how long the servers of a service take for a request, queueing excluded. It is safe for concurrent
 // use.
 type ServiceTime struct {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -130,7 +130,7 @@
 // expectedTime returns how long the server is expected to take for one more request, queueing included.
 func expectedTime(s *catalog.Server, serviceTime time.Duration, now state.Instant) time.Duration {
 	utilization := (s.Gauge.Load(now) + 1) / float64(max(1, s.Slots))
-	return time.Duration(float64(serviceTime) * max(1, utilization))
+	return time.Duration(float64(serviceTime) * max(1, utilization) * s.Gauge.Slowness(now))
 }
 
 // candidate is a server with its rank for the request.
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -279,3 +279,19 @@
 		NewWithT(t).Expect(StillUsable(v, "svc", c.chosen, now)).To(Equal(c.usable), name)
 	}
 }
+
+// Guards against requests that are placed as if a server worked at its usual speed while it has just reported a much longer work
+// time.
+func TestReportedWorkTimeLengthensTheExpectedTime(t *testing.T) {
+	g := NewWithT(t)
+	v := newView(1, "north")
+	v.Services["search"].Time.Record(400*time.Millisecond, 1, 4)
+	server := v.Services["search"].Servers[0]
+	_, reason := Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Chosen))
+	server.Gauge.ReportSlowness(now, 3) // 1.2 s, the target is 0.5 s
+	_, reason = Choose(v, newRequest("7"), now)
+	g.Expect(reason).To(Equal(Overloaded))
+	_, reason = Choose(v, newRequest("7"), now.Add(600*time.Millisecond))
+	g.Expect(reason).To(Equal(Chosen), "the report is old")
+}
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -43,6 +43,7 @@
 	Running     int    // requests that the server runs
 	Waiting     int    // requests that wait at the server
 	Slots       int
+	Slowness    float64 // work time on the server now, as a multiple of the usual; 0 when the headers state none
 	// Pause is the time for which the server asks the sender for no requests; 0 when it does not ask. BadPause means that the
 	// headers state one that is no time.
 	Pause    time.Duration
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -174,6 +174,9 @@
 	out := reply{a, took}
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
+		if a.Slowness > 0 {
+			server.Gauge.ReportSlowness(now, a.Slowness)
+		}
 	}
 	if a.Connect > 0 {
 		server.Distance.Record(a.Connect)
