routing, placement: priority and regions of customers; unknown types of routes are reported

Cause: a request's priority and regions were its route's alone, and a route of an unknown type went unnoticed. Change: a customer's priority replaces its route's, also in who is the most urgent of a service; its regions apply beside the route's. A table with routes of an unknown type is logged once, azb_control_unknown_types counts them.

--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -86,6 +86,12 @@
 		}
 		return int64(v.Table.Version)
 	})
+	gauge("control.unknown_types", func(v *catalog.View) int64 {
+		if v.Table == nil {
+			return 0
+		}
+		return int64(v.Table.UnknownTypes())
+	})
 	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision.Number) })
 	p.metrics.GetOrRegister("store.era", metrics.NewFunctionalGauge(func() int64 { return int64(p.store.Era()) }))
 	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -238,7 +238,11 @@
 		return
 	}
 	c.table = t
-	c.log("routing table in force", "version", uint64(t.Version), "routes", len(t.Routes), "services", len(t.Services))
+	c.log("routing table in force", "version", uint64(t.Version), "routes", len(t.Routes), "services", len(t.Services),
+		"customers", len(t.Customers))
+	if n := t.UnknownTypes(); n > 0 {
+		c.log("routes of an unknown type; their requests run at most once", "version", uint64(t.Version), "routes", n)
+	}
 }
 
 // updateServer applies a server's entry unless it is outdated. With logNew, a new server gets its own log entry.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -21,8 +21,9 @@
 	Service  state.ServiceName
 	Object   string // key of the object; empty when the route has no affinity
 	Route    *routing.Route
-	Region   state.RegionName // of this instance
-	Bulk     bool             // responses are so large that distance costs more than a cached object saves
+	Customer *routing.Customer // nil when it is not known
+	Region   state.RegionName  // of this instance
+	Bulk     bool              // responses are so large that distance costs more than a cached object saves
 	Tried    []state.BackendName
 	TimeLeft time.Duration  // time left until the deadline of the response
 	Random   func() float64 // random number from 0 (included) to 1 (excluded)
@@ -118,7 +119,7 @@
 func (r *Request) maxExpectedTime(serviceTime time.Duration) time.Duration {
 	limit := r.TimeLeft
 	factor := float64(lateFactor)
-	if r.Route.Yields() {
+	if r.Route.Yields(r.Customer) {
 		factor = yieldFactor
 	}
 	if target := r.Route.TargetLatency; target > 0 {
@@ -154,7 +155,7 @@
 	reason := NoServers
 	serviceTime := service.Time.Estimate()
 	for _, s := range service.Servers {
-		if !r.Route.ServedIn(s.Region) || s.Gauge.Leaving() {
+		if !r.servedIn(s.Region) || s.Gauge.Leaving() {
 			continue
 		}
 		if slices.Contains(r.Tried, s.Name) {
@@ -223,7 +224,7 @@
 		return false
 	}
 	return slices.ContainsFunc(service.Servers, func(s *catalog.Server) bool {
-		return !s.WithinLimit(now) && r.Route.ServedIn(s.Region) && !slices.Contains(r.Tried, s.Name) && r.rank(s, localWeight) < first.rank
+		return !s.WithinLimit(now) && r.servedIn(s.Region) && !slices.Contains(r.Tried, s.Name) && r.rank(s, localWeight) < first.rank
 	})
 }
 
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -113,7 +113,9 @@
 		}
 		r := newRequest(rapid.SampledFrom([]string{"", "7", "8"}).Draw(t, "object"))
 		r.Bulk = rapid.Bool().Draw(t, "bulk")
-		r.Route.Regions = rapid.SampledFrom([][]state.RegionName{nil, {"north"}, {"south", "west"}}).Draw(t, "regions")
+		regions := rapid.SampledFrom([][]state.RegionName{nil, {"north"}, {"south", "west"}})
+		r.Route.Regions = regions.Draw(t, "regions")
+		r.Customer = &routing.Customer{Regions: regions.Draw(t, "customer's regions")}
 		cold := make(map[state.BackendName]int)
 		for range 6 {
 			s, reason := Choose(v, r, now)
@@ -126,6 +128,9 @@
 			if !r.Route.ServedIn(s.Region) {
 				t.Fatalf("chosen server is in region %s, allowed are %v", s.Region, r.Route.Regions)
 			}
+			if !r.Customer.ServedIn(s.Region) {
+				t.Fatalf("chosen server is in region %s, the customer's are %v", s.Region, r.Customer.Regions)
+			}
 			for _, tried := range r.Tried {
 				if tried == s.Name {
 					t.Fatalf("server %s was chosen again after it was tried", s.Name)
--- a/coordination/placement/regions.go
+++ b/coordination/placement/regions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/state"
 )
 
 // Weights of a server of this instance's region, relative to one elsewhere with as many slots, for routes whose target latency is
@@ -19,6 +20,11 @@
 	farDistance  = 0.23
 )
 
+// servedIn reports whether the request may be sent to a region: its route and its customer both allow it.
+func (r *Request) servedIn(region state.RegionName) bool {
+	return r.Route.ServedIn(region) && (r.Customer == nil || r.Customer.ServedIn(region))
+}
+
 // localWeight returns the weight of the servers of this instance's region. Servers nearby answer sooner, and traffic between
 // regions is expensive, but regions that keep their requests to themselves cache each object once more and use each other's
 // free slots less.
--- a/coordination/placement/retryafter.go
+++ b/coordination/placement/retryafter.go
@@ -31,7 +31,7 @@
 func firstToResume(s *catalog.Service, r *Request, now state.Instant) *catalog.Server {
 	var first *catalog.Server
 	for _, m := range s.Servers {
-		if !r.Route.ServedIn(m.Region) || m.Gauge.Leaving() {
+		if !r.servedIn(m.Region) || m.Gauge.Leaving() {
 			continue
 		}
 		if !m.Gauge.Pause.Active(now) {
--- a/state/routing/change.go
+++ b/state/routing/change.go
@@ -67,6 +67,6 @@
 
 // sameRoute compares two routes without the fields that Index derives.
 func sameRoute(a, b Route) bool {
-	a.yields, b.yields = false, false
+	a.ahead, b.ahead = 0, 0
 	return reflect.DeepEqual(a, b)
 }
--- a/state/routing/routing_test.go
+++ b/state/routing/routing_test.go
@@ -84,6 +84,44 @@
 	}}
 	table.Index()
 	for i, want := range []bool{false, false, true, false} {
-		NewWithT(t).Expect(table.Routes[i].Yields()).To(Equal(want), table.Routes[i].Name)
+		NewWithT(t).Expect(table.Routes[i].Yields(nil)).To(Equal(want), table.Routes[i].Name)
+	}
+}
+
+// Guards against requests that are ordered by their route's priority although their customer has one of its own, and against
+// requests that yield to customers that cannot send.
+func TestPriorityOfACustomerReplacesThatOfItsRoute(t *testing.T) {
+	key := []KeyDigest{Digest("k")}
+	urgent := &Customer{Name: "urgent", Keys: key, HasPriority: true, Priority: 0}
+	late := &Customer{Name: "late", Keys: key, HasPriority: true, Priority: 3}
+	plain := &Customer{Name: "plain", Keys: key}
+	keyless := &Customer{Name: "keyless", HasPriority: true, Priority: 0}
+	for name, c := range map[string]struct {
+		customers []*Customer
+		open      bool // whether the first route allows requests without a key
+		yields    map[*Customer][2]bool
+	}{
+		"all have their own":        {[]*Customer{urgent, late}, false, map[*Customer][2]bool{urgent: {false, false}, late: {true, true}}},
+		"one has the route's":       {[]*Customer{plain, late}, false, map[*Customer][2]bool{plain: {false, true}, late: {true, true}}},
+		"one alone":                 {[]*Customer{late}, false, map[*Customer][2]bool{late: {false, false}}},
+		"anonymous requests":        {[]*Customer{late}, true, map[*Customer][2]bool{late: {true, true}, nil: {false, true}}},
+		"without a key":             {[]*Customer{late, keyless}, false, map[*Customer][2]bool{late: {false, false}}},
+		"none":                      {nil, false, map[*Customer][2]bool{nil: {false, true}}},
+		"only one without a key":    {[]*Customer{keyless}, true, map[*Customer][2]bool{nil: {false, true}}},
+		"route's and a less urgent": {[]*Customer{plain, late}, true, map[*Customer][2]bool{nil: {false, true}}},
+	} {
+		table := &Table{Routes: []Route{
+			{Name: "first", Priority: 1, AllowAnonymous: c.open, Parts: []Part{{"a", 1}}},
+			{Name: "second", Priority: 2, Parts: []Part{{"a", 1}}},
+		}}
+		for _, customer := range c.customers {
+			table.Customers = append(table.Customers, *customer)
+		}
+		table.Index()
+		for customer, want := range c.yields {
+			for i, yields := range want {
+				NewWithT(t).Expect(table.Routes[i].Yields(customer)).To(Equal(yields), "%s: %v on route %s", name, customer, table.Routes[i].Name)
+			}
+		}
 	}
 }
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -24,6 +24,8 @@
 
 	byHost map[string][]*Route
 	byKey  map[KeyDigest]*Customer
+
+	unknownTypes int // routes
 }
 
 // Route defines how requests of one host below one path prefix are served.
@@ -44,7 +46,10 @@
 	// AllowAnonymous is whether a request without a known key is served where the table has customers.
 	AllowAnonymous bool
 
-	yields bool // a more urgent route uses one of the route's services
+	// UnknownType is whether the route's type is none that azurebridge knows; its requests run at most once.
+	UnknownType bool
+
+	ahead int // by how much the most urgent requests for any of the route's services are more urgent than Priority
 }
 
 // Part is the share of a route's requests that goes to one service.
@@ -66,30 +71,24 @@
 	IdleTimeout   time.Duration
 }
 
-// Index builds the data for Match, CustomerOf and Yields. Call it once, before the table is shared.
+// Index builds the data for Match, CustomerOf, Yields and UnknownTypes. Call it once, before the table is shared.
 func (t *Table) Index() {
 	t.indexKeys()
+	t.indexPriorities()
 	t.byHost = make(map[string][]*Route)
-	mostUrgent := make(map[state.ServiceName]int) // the priority of the service's most urgent route
+	t.unknownTypes = 0
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
-		for _, p := range r.Parts {
-			if best, ok := mostUrgent[p.Service]; !ok || r.Priority < best {
-				mostUrgent[p.Service] = r.Priority
-			}
+		if r.UnknownType {
+			t.unknownTypes++
 		}
 	}
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		r.yields = slices.ContainsFunc(r.Parts, func(p Part) bool { return mostUrgent[p.Service] < r.Priority })
-	}
 }
 
-// Yields reports whether a more urgent route uses one of the route's services, so that requests of this one are refused first
-// when capacity is short.
-func (r *Route) Yields() bool { return r.yields }
+// UnknownTypes returns the number of routes of an unknown type.
+func (t *Table) UnknownTypes() int { return t.unknownTypes }
 
 // Match returns the route of a host (without port) with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
