callerconn: errors do not quote what a caller has sent

Cause: the answer 400 to a head that cannot be parsed, and the error of a malformed trailer, which is logged, quote the line. It may hold a customer's key. Change: fixed texts in place of the parser's.

--- a/transport/callerconn/request.go
+++ b/transport/callerconn/request.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/textproto"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// malformedHead is the reason for requests whose head cannot be parsed.
+const malformedHead = "malformed request line or header"
+
 // rejection is the reason for which a request is answered without the handler.
 type rejection struct {
 	status int
@@ -35,7 +39,7 @@
 	case errors.Is(err, errHeadTooLarge):
 		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error()}
 	}
-	return nil, &rejection{http.StatusBadRequest, err.Error()}
+	return nil, &rejection{http.StatusBadRequest, malformedHead} // err quotes the line, which may hold a customer's key
 }
 
 // validate rejects what another server might read differently than this one.
@@ -63,6 +67,17 @@
 	return nil
 }
 
+// withoutQuote replaces an error that quotes a malformed line of the caller, such as a trailer, which may hold a customer's key.
+func withoutQuote(err error) error {
+	var quoting textproto.ProtocolError
+	if errors.As(err, &quoting) {
+		return errMalformedBody
+	}
+	return err
+}
+
+var errMalformedBody = errors.New("malformed trailer or chunk")
+
 // lastOfConnection reports whether the caller sends no request after this one.
 func lastOfConnection(r *http.Request) bool { return r.Close }
 
@@ -103,6 +118,7 @@
 	}
 	n, err := b.source.Read(p)
 	if err != nil {
+		err = withoutQuote(err)
 		b.err = err
 		b.whole.Store(err == io.EOF)
 		b.end()
