front: customers are identified by their keys

Cause: with customers in the configuration, requests ran without the customer's name, and with unknown keys. Change: where the table has customers, a request without a known key is answered 401 unless its route allows that; servers get the customer's name and no key. The customer is looked up again once the body is read, before each try, and once the connection to the server is open, so that a request that has not been sent runs under the newest table.

--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -100,6 +100,9 @@
 		out = append(out, "route", q.route.Name, "service", string(q.service), "limit_ms", q.timeout.Milliseconds(),
 			"work_ms", q.workEstimate().Milliseconds())
 	}
+	if q.customer != nil {
+		out = append(out, "customer", string(q.customer.Name))
+	}
 	if q.view.Table != nil {
 		out = append(out, "table", uint64(q.view.Table.Version))
 	}
--- a/transport/front/departure_test.go
+++ b/transport/front/departure_test.go
@@ -32,6 +32,10 @@
 
 func (plainDialect) SetServer(http.Header, state.BackendName, time.Duration) {}
 
+func (plainDialect) SetCustomer(http.Header, state.CustomerName) {}
+
+func (plainDialect) Challenge(http.Header) {}
+
 func (plainDialect) Inspect(http.Header, int) backendconn.Marks {
 	return backendconn.Marks{Signed: true}
 }
@@ -44,7 +48,8 @@
 	items   []catalog.Item // of the servers, and the routing table as the last one
 
 	mu       sync.Mutex
-	received []string // names of servers, one for each request
+	received []string      // names of servers, one for each request
+	headers  []http.Header // of those requests
 }
 
 // newStartingFixture starts n servers of one service, and a Manager that opens connections to them with dial. The instance has
@@ -56,10 +61,11 @@
 	s := &fixture{WithT: NewWithT(t)}
 	for i := range n {
 		name := string(rune('a' + i))
-		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.received = append(s.received, name)
+			s.headers = append(s.headers, r.Header)
 		}))
 		t.Cleanup(server.Close)
 		s.items = append(s.items, catalog.Item{Key: name, Fact: &routing.Backend{
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -40,6 +40,9 @@
 	}
 	var failure *backendconn.Answer // a server's own failure, forwarded when no other server answers
 	for range maxTries {
+		if !q.readmit() {
+			break
+		}
 		server, ok := q.nextServer()
 		if !ok {
 			break
@@ -86,7 +89,7 @@
 	}
 	q.view = m.opts.Loop.View()
 	wanted := &placement.Request{
-		Service: q.service, Object: q.affinityKey(), Route: q.route, Region: m.opts.Region,
+		Service: q.service, Object: q.affinityKey(), Route: q.route, Customer: q.customer, Region: m.opts.Region,
 		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Random: rand.Float64, TimeLeft: q.timeLeft(),
 	}
 	server, reason := placement.Choose(q.view, wanted, now)
@@ -255,6 +258,9 @@
 		return true
 	}
 	newest := q.m.opts.Loop.View()
+	if q.customerChanged(newest.Table, server) {
+		return true
+	}
 	if placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
 		return false
 	}
@@ -320,6 +326,8 @@
 	case failure != nil:
 		q.m.Stats.Passed.Add(1)
 		q.writeAnswer(failure)
+	case !q.ran && q.keyWithdrawn:
+		q.rejectKey()
 	case !q.ran:
 		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -16,14 +16,17 @@
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
+	"azurebridge/state/routing"
 	"azurebridge/transport/backendconn"
 )
 
 // Caller holds what the headers of a caller's request state.
 type Caller struct {
 	RequestID string
-	Object    string        // key of the object that the request concerns; empty for none
-	Timeout   time.Duration // the caller's timeout; 0 when the request states none
+	Object    string            // key of the object that the request concerns; empty for none
+	Timeout   time.Duration     // the caller's timeout; 0 when the request states none
+	Key       routing.KeyDigest // of the customer's key; valid if HasKey
+	HasKey    bool
 }
 
 // Dialect translates the platform's headers.
@@ -33,6 +36,11 @@
 	Identify(h http.Header) Caller
 	// SetServer sets the headers that name the backend server and state the time left for its answer.
 	SetServer(h http.Header, server state.BackendName, timeLeft time.Duration)
+	// SetCustomer removes the customer's key from the headers to a backend server, and sets the one that names the customer,
+	// whatever the caller has sent; an empty name removes it.
+	SetCustomer(h http.Header, name state.CustomerName)
+	// Challenge sets the header of an answer with status 401.
+	Challenge(h http.Header)
 }
 
 // Options are the inputs of a Manager.
@@ -72,6 +80,8 @@
 	Failed    atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
 	TimedOut  atomic.Uint64 // answered 504
 	NoRoute   atomic.Uint64 // answered 404
+	NoKey     atomic.Uint64 // answered 401: the request has no known key, and its route requires one
+	Anonymous atomic.Uint64 // requests without a known key on routes that allow it, where the table has customers
 	Left      atomic.Uint64 // requests whose caller disconnected early
 	Cut       atomic.Uint64 // answers aborted while their rest was streamed to the caller
 	Retries   atomic.Uint64
@@ -107,11 +117,11 @@
 	}
 	q.awaitTable()
 	table := q.view.Table
-	if !q.match() || !q.readBody(table.Limits) || !q.awaitTurn() {
+	if !q.match() || !q.identify() || !q.readBody(table.Limits) || !q.awaitTurn() {
 		return
 	}
 	q.view = m.opts.Loop.View() // the body or the turn may have taken long to arrive
-	if q.view.Table != table && !q.match() {
+	if q.view.Table != table && !(q.match() && q.identify()) {
 		return
 	}
 	q.service = q.route.Part(rand.Float64())
