front, metastore: strict revocation of keys

Cause: an instance that is cut off from the store admits removed keys without bound. Change: with strict_revocation, requests with a key are refused (503, not run) while the instance's knowledge is older than revoke_after. An instance behind its proofs lists the store. Without the setting no call is made.

--- a/cmd/azb-front/customers_test.go
+++ b/cmd/azb-front/customers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -296,3 +298,63 @@
 	}
 	f.Eventually(func() int { return len(f.output.lines("request body could not be read")) }, waitTimeout).Should(Equal(2))
 }
+
+// revokeAfter is the bound of strict revocation in these tests.
+const revokeAfter = 3 * time.Second
+
+// setStrictRevocation changes the settings of an instance as a reload does.
+func (p *program) setStrictRevocation(strict bool) {
+	limits := *p.limits.Load()
+	limits.StrictRevocation, limits.RevokeAfter = strict, revokeAfter
+	p.applyLimits(context.Background(), limits)
+}
+
+// Guards against keys that are admitted without bound by an instance that is cut off from the store although the settings forbid it,
+// against refusals of requests without a key, and against refusals by an instance in contact.
+func TestStrictRevocationRefusesKeysWithoutTheStore(t *testing.T) {
+	f := newCustomerFixture(t, 1)
+	f.program.setStrictRevocation(true)
+	send := func(path, key string) answer {
+		f.lastRequest++
+		h := keyed(nil)
+		if key != "" {
+			h = keyed([]string{key})
+		}
+		return f.sendHeader(f.client(), fmt.Sprint(f.lastRequest), http.MethodPost, path+"a", h, strings.NewReader("x"))
+	}
+	status := func() int { return send(standin.WritePath, aliceKey).status }
+	f.Eventually(status, waitTimeout).Should(Equal(http.StatusOK))
+	f.Consistently(status, revokeAfter+time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	f.store.SetFault(standin.Reset)
+	time.Sleep(revokeAfter + time.Millisecond)
+	f.Expect(status()).To(Equal(http.StatusServiceUnavailable))
+	for _, key := range []string{bobKey, unknownKey} {
+		for _, path := range []string{standin.WritePath, standin.OpenPath} {
+			a := send(path, key)
+			f.Expect(a.status).To(Equal(http.StatusServiceUnavailable), "%s %s", path, key)
+			f.Expect(a.header).To(HaveKey("Retry-After"))
+			f.Expect(f.runs(a.id)).To(BeZero())
+		}
+	}
+	f.Expect(send(standin.WritePath, "").status).To(Equal(http.StatusUnauthorized))
+	f.Expect(send(standin.OpenPath, "").status).To(Equal(http.StatusOK))
+	f.Expect(f.program.front.Stats.Unproved.Load()).To(BeNumerically(">=", 5))
+	f.program.setStrictRevocation(false)
+	f.Expect(status()).To(Equal(http.StatusOK), "without the setting the last configuration stays in force")
+	f.program.setStrictRevocation(true)
+	f.Expect(status()).To(Equal(http.StatusServiceUnavailable))
+	f.store.SetFault(standin.NoFault)
+	f.Eventually(status, waitTimeout).Should(Equal(http.StatusOK))
+	f.Eventually(func() int { return len(f.output.lines("knowledge of the store is verified again")) }, waitTimeout).ShouldNot(BeZero())
+}
+
+// Guards against an instance that refuses keys until its watch ends because that brings nothing.
+func TestStrictRevocationDetectsAnUnresponsiveWatch(t *testing.T) {
+	f := newCustomerFixture(t, 1)
+	f.program.setStrictRevocation(true)
+	f.Eventually(func() bool { return f.program.loop.View().VerifiedAt != 0 }, waitTimeout).Should(BeTrue())
+	f.store.WithholdEvents(true)
+	f.store.PutCustomers(3, longTimeout, targetLatency, map[string]standin.Customer{"alice": {Keys: []string{aliceKey}}})
+	f.awaitTable(3)
+	f.store.WithholdEvents(false)
+}
--- a/cmd/azb-front/reload.go
+++ b/cmd/azb-front/reload.go
@@ -45,12 +45,14 @@
 	}
 	p.applyLimits(ctx, cfg.Limits)
 	p.log.Info("settings reloaded", "retry_ratio", cfg.Limits.RetryRatio, "retry_extra", cfg.Limits.RetryExtra,
-		"cold_factor", cfg.Limits.ColdFactor, "cold_tolerance", cfg.Limits.ColdTolerance, "stop_grace_ms", cfg.Limits.StopGrace.Milliseconds())
+		"cold_factor", cfg.Limits.ColdFactor, "cold_tolerance", cfg.Limits.ColdTolerance, "stop_grace_ms", cfg.Limits.StopGrace.Milliseconds(),
+		"strict_revocation", cfg.Limits.StrictRevocation, "revoke_after_ms", cfg.Limits.RevokeAfter.Milliseconds())
 }
 
 func (p *program) applyLimits(ctx context.Context, l settings.FrontLimits) {
 	p.limits.Store(&l)
 	p.front.ApplyRetryLimit(retryLimit(l))
+	p.front.ApplyMaxKeyAge(revocationBound(l))
 	p.loop.Send(ctx, catalog.Limits{Cold: coldLimit(l)})
 }
 
@@ -58,6 +60,14 @@
 	return quota.RetryLimit{Ratio: l.RetryRatio, Extra: l.RetryExtra, Window: l.RetryWindow}
 }
 
+// revocationBound returns the age of the instance's knowledge above which requests with a key are refused; 0 for none.
+func revocationBound(l settings.FrontLimits) time.Duration {
+	if !l.StrictRevocation {
+		return 0
+	}
+	return max(1, l.RevokeAfter) // 0 means no bound
+}
+
 func coldLimit(l settings.FrontLimits) quota.ColdLimit {
 	return quota.ColdLimit{Factor: l.ColdFactor, Tolerance: l.ColdTolerance}
 }
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -86,6 +86,7 @@
 	store       *platform.Store
 	follower    *metastore.Follower
 	registrar   *metastore.Registrar
+	verifier    *metastore.Verifier
 	pool        *backendconn.Pool
 	front       *front.Manager
 	contact     *metastore.Contact // time of the store's last answer
@@ -130,7 +131,7 @@
 	p.pool = backendconn.NewPool(backend.Dial)
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
-		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
+		Retry: retryLimit(cfg.Limits), MaxKeyAge: revocationBound(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
 		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
 	})
 	p.callers = callerconn.NewServer(callerconn.Options{
@@ -172,6 +173,11 @@
 		Contact: p.contact,
 	})
 	p.factsClient = peers.NewFactsClient(p.loop, cfg.Peers.String(), cfg.Seeds)
+	p.verifier = metastore.NewVerifier(metastore.VerifierOptions{
+		Bound: func() time.Duration { return revocationBound(*p.limits.Load()) }, Clock: p.loop.Now, Sink: p.loop,
+		Store: p.store.CurrentRevision, Peer: p.askPeerForProof, Behind: p.follower.ReportRevision, Log: p.log.Named("store"),
+		Age: func() time.Duration { return p.loop.View().Age(p.loop.Now()) },
+	})
 	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
 }
 
@@ -202,7 +208,7 @@
 		return err
 	}
 	for _, work := range []func(context.Context){
-		p.loop.Run, p.follower.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.relay.Run,
+		p.loop.Run, p.follower.Run, p.verifier.Run, p.registerWhenReady, p.sweep, p.peers.Run, p.relay.Run,
 		p.readers.Run, p.watchSettings,
 	} {
 		go work(ctx)
@@ -275,6 +281,15 @@
 	return facts.Items, facts.Revision, true
 }
 
+// askPeerForProof requests from one other instance, chosen at random, the revision and the age of its knowledge of the store.
+func (p *program) askPeerForProof(ctx context.Context) (catalog.Revision, time.Duration, bool) {
+	revision, age, ok, err := p.factsClient.FetchProof(ctx)
+	if err != nil {
+		p.log.Debug("request for a proof to another instance failed", "error", err.Error())
+	}
+	return revision, age, ok && err == nil
+}
+
 // ready reports whether the instance accepts new callers.
 func (p *program) ready() bool {
 	v := p.loop.View()
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -65,6 +65,9 @@
 	dirty         bool
 	revision      Revision // store revision up to which the facts are known
 	source        Source   // of the facts being applied
+	verifiedAt    state.Instant
+	unmet         []Verified // proofs of revisions that are not known yet, oldest first
+	lastView      *View
 }
 
 // trackedServer is a backend server with this instance's knowledge of it.
@@ -118,6 +121,8 @@
 		c.dirty = true
 	case LimitEnded:
 		c.endLimit(ev)
+	case Verified:
+		c.verify(ev)
 	case Collect:
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
@@ -165,6 +170,7 @@
 		return false
 	}
 	c.revision, c.source = revision, source
+	c.countProofs()
 	return true
 }
 
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -12,12 +12,13 @@
 // View returns a new view when something has changed since the last call, and nil otherwise.
 func (c *Core) View() *View {
 	if !c.dirty {
-		return nil
+		return c.viewVerified()
 	}
 	c.dirty = false
 	v := &View{
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.storeLost,
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
+		VerifiedAt: c.verifiedAt,
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
@@ -35,6 +36,7 @@
 		slices.SortFunc(s.Servers, func(a, b *Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
 		s.Regions = regionsOf(s.Servers)
 	}
+	c.lastView = v
 	return v
 }
 
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -19,7 +19,9 @@
 	StoreLost bool
 	Stopping  bool
 	Revision  Revision // store revision that the view reflects
-	FleetKey  []byte   // signs messages between instances; nil until one is known
+	// VerifiedAt is the last instant at which the view is proved to have held all changes of the store; 0 without a proof.
+	VerifiedAt state.Instant
+	FleetKey   []byte // signs messages between instances; nil until one is known
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -38,6 +38,10 @@
 	ColdTolerance  float64 // requests/s in addition to ColdFactor
 	MemoryMegabyte float64 // memory of the process in MiB; 0 sets no limit
 	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
+	// StrictRevocation is whether requests with a key are refused while the instance's knowledge of the store is older than
+	// RevokeAfter.
+	StrictRevocation bool
+	RevokeAfter      time.Duration
 }
 
 // Defaults and bounds of FrontLimits.
@@ -47,6 +51,7 @@
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = 10 * time.Second
 	minRetryWindow     = 10 * time.Millisecond
+	defaultRevokeAfter = 3 * time.Second // the time within which a changed key is in force at instances in contact with the store
 	// maxShare, maxCount, maxMegabyte and maxMbps reject only values that cannot be meant: a platform may derive any other
 	// figure from the size of its deployment.
 	maxShare    = 1e6
@@ -95,6 +100,9 @@
 		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxCount),
 		MemoryMegabyte: s.Number("memory_mb", 0, 0, maxMegabyte),
 		LinkMbps:       s.Number("link_mbps", 0, 0, maxMbps),
+
+		StrictRevocation: s.Bool("strict_revocation", false),
+		RevokeAfter:      s.Duration("revoke_after", defaultRevokeAfter, 0, maxDuration),
 	}
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -32,6 +32,8 @@
 retry_window = 10s
 cold_factor = 1.5
 cold_tolerance = 5
+strict_revocation = true
+revoke_after = 2500ms
 [domain north-a]
 region = north
 `
@@ -46,6 +48,7 @@
 	g.Expect(cfg.Limits).To(Equal(FrontLimits{
 		StopGrace: 6 * time.Second, LookupTTL: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 124, RetryWindow: 10 * time.Second,
 		ColdFactor: 1.5, ColdTolerance: 5, MemoryMegabyte: 206, LinkMbps: 700,
+		StrictRevocation: true, RevokeAfter: 2500 * time.Millisecond,
 	}))
 	g.Expect(cfg.Store.String()).To(Equal("10.0.0.2:1"))
 	g.Expect(cfg.Regions).To(HaveLen(1))
@@ -106,6 +109,12 @@
 		{"memory_mb = 136.5", func(l *FrontLimits) any { return l.MemoryMegabyte }, 136.5},
 		{"memory_mb = 0", func(l *FrontLimits) any { return l.MemoryMegabyte }, 0.0},
 		{"link_mbps = 19.999999999999996", func(l *FrontLimits) any { return l.LinkMbps }, 19.999999999999996},
+		{"", func(l *FrontLimits) any { return l.StrictRevocation }, false},
+		{"", func(l *FrontLimits) any { return l.RevokeAfter }, defaultRevokeAfter},
+		{"strict_revocation = True", func(l *FrontLimits) any { return l.StrictRevocation }, true},
+		{"strict_revocation = false", func(l *FrontLimits) any { return l.StrictRevocation }, false},
+		{"revoke_after = 2999.9999999999995ms", func(l *FrontLimits) any { return l.RevokeAfter.Round(time.Microsecond) }, 3 * time.Second},
+		{"revoke_after = 0ms", func(l *FrontLimits) any { return l.RevokeAfter }, time.Duration(0)},
 		{"link_mbps = 4000000", func(l *FrontLimits) any { return l.LinkMbps }, 4e6},
 	} {
 		t.Run(c.line, func(t *testing.T) {
--- a/transport/front/customer.go
+++ b/transport/front/customer.go
@@ -2,18 +2,32 @@
 
 import (
 	"net/http"
+	"time"
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
 
+// unprovedRetryAfter is the Retry-After of requests that are refused because the knowledge of the keys may be too old: until the
+// instance is in contact again, callers should use another one.
+const unprovedRetryAfter = time.Second
+
+// admission is whether a request may be sent to a server.
+type admission int
+
+const (
+	admitted    admission = iota
+	keyUnknown            // it has no known key, and its route requires one
+	keyOutdated           // its key may have been removed, because this instance's knowledge is too old
+)
+
 // identify finds the request's customer by its key in the view's routing table. Where the table has customers, a request without a
 // known key is answered 401 unless its route allows anonymous ones; then identify returns false.
 func (q *request) identify() bool {
 	first := q.identified == nil
-	if !q.admit(q.view.Table) {
-		q.rejectKey()
+	if q.admission = q.admit(q.view); q.admission != admitted {
+		q.reject()
 		return false
 	}
 	if first && q.guarded && q.customer == nil {
@@ -22,15 +36,21 @@
 	return true
 }
 
-// admit sets the customer by a table, and reports whether the request may be sent under it.
-func (q *request) admit(t *routing.Table) bool {
-	q.customer, q.identified = nil, t
-	if len(t.Customers) == 0 {
-		return true
+// admit sets the customer by a view, and returns whether the request may be sent under it.
+func (q *request) admit(v *catalog.View) admission {
+	q.customer, q.identified = nil, v.Table
+	if len(v.Table.Customers) == 0 {
+		return admitted
 	}
 	q.guarded = true
-	q.customer = q.customerIn(t)
-	return q.customer != nil || q.route.AllowAnonymous
+	q.customer = q.customerIn(v.Table)
+	switch {
+	case q.outdated(v):
+		return keyOutdated
+	case q.customer == nil && !q.route.AllowAnonymous:
+		return keyUnknown
+	}
+	return admitted
 }
 
 // customerIn returns the customer that has the request's key in a table, or nil.
@@ -41,6 +61,12 @@
 	return t.CustomerOf(q.caller.Key)
 }
 
+// outdated reports whether the request has a key and the view is too old to tell whose it is.
+func (q *request) outdated(v *catalog.View) bool {
+	bound := time.Duration(q.m.maxKeyAge.Load())
+	return q.caller.HasKey && bound > 0 && len(v.Table.Customers) > 0 && v.Age(q.m.opts.Loop.Now()) > bound
+}
+
 // customerName returns the name of the request's customer; empty without one.
 func (q *request) customerName() state.CustomerName {
 	if q.customer == nil {
@@ -49,38 +75,54 @@
 	return q.customer.Name
 }
 
-// readmit looks the customer up again before each try when a new table has come into force, and reports whether the request may
-// still be sent.
+// readmit looks the customer up again before each try, and reports whether the request may still be sent.
 func (q *request) readmit() bool {
-	newest := q.m.opts.Loop.View().Table
-	if newest == q.identified || q.admit(newest) {
+	v := q.m.opts.Loop.View()
+	if v.Table == q.identified && !q.outdated(v) {
 		return true
 	}
-	q.keyWithdrawn, q.lastOutcome = true, "key withdrawn"
+	if q.admission = q.admit(v); q.admission == admitted {
+		return true
+	}
+	q.lastOutcome = "key no longer valid"
 	return false
 }
 
-// customerChanged reports whether a table, newer than the one by which the server was chosen and the headers were written, has
-// changed what they depend on: the request's customer, or whether it may use the server's region. The request must not be sent then.
-func (q *request) customerChanged(newest *routing.Table, server *catalog.Server) bool {
-	if newest == q.identified {
+// customerChanged reports whether a view, newer than the one by which the server was chosen and the headers were written, has
+// changed what they depend on: the request's customer, whether it may use the server's region, or whether its key can be trusted.
+// The request must not be sent then.
+func (q *request) customerChanged(newest *catalog.View, server *catalog.Server) bool {
+	if q.outdated(newest) {
+		return true
+	}
+	if newest.Table == q.identified {
 		return false
 	}
 	var name state.CustomerName
-	c := q.customerIn(newest)
+	c := q.customerIn(newest.Table)
 	if c != nil {
 		name = c.Name
 	}
-	if name == q.customerName() && (len(newest.Customers) == 0 || q.guarded) && (c == nil || c.ServedIn(server.Region)) {
+	return name != q.customerName() || len(newest.Table.Customers) > 0 && !q.guarded || c != nil && !c.ServedIn(server.Region)
+}
+
+// withdrawForCustomer is customerChanged, and counts and logs it.
+func (q *request) withdrawForCustomer(newest *catalog.View, server *catalog.Server) bool {
+	if !q.customerChanged(newest, server) {
 		return false
 	}
 	q.m.Stats.Withdrawn.Add(1)
-	q.log("request withdrawn: its customer has changed", "server", string(server.Name), "newest_table", uint64(newest.Version))
+	q.log("request withdrawn: its customer or key has changed", "server", string(server.Name), "newest_table", uint64(newest.Table.Version))
 	return true
 }
 
-// rejectKey answers 401.
-func (q *request) rejectKey() {
+// reject answers a request that may not be sent: 401 without a known key, 503 when that cannot be told.
+func (q *request) reject() {
+	if q.admission == keyOutdated {
+		q.m.Stats.Unproved.Add(1)
+		q.refuse("keys cannot be verified", unprovedRetryAfter)
+		return
+	}
 	q.m.Stats.NoKey.Add(1)
 	q.m.opts.Dialect.Challenge(q.w.Header())
 	why := "no key"
--- a/transport/front/customer_test.go
+++ b/transport/front/customer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -128,3 +129,18 @@
 	}
 	s.Expect(s.manager.Stats.NoKey.Load()).To(BeZero())
 }
+
+// Guards against a request with a key that is sent although the instance's knowledge has become too old while the connection to the
+// server was being opened.
+func TestKnowledgeTooOldWhileTheConnectionOpens(t *testing.T) {
+	const bound = 100 * time.Millisecond
+	s := newCustomerFixture(t, 2, func(*fixture) { time.Sleep(bound) })
+	s.loop.Send(context.Background(), catalog.Verified{At: s.loop.Now(), Revision: s.loop.View().Revision})
+	s.Eventually(func() state.Instant { return s.loop.View().VerifiedAt }, testTimeout).ShouldNot(BeZero())
+	s.manager.ApplyMaxKeyAge(bound)
+	s.Expect(s.sendKey("a")).To(Equal(http.StatusServiceUnavailable))
+	s.Expect(s.requests()).To(BeEmpty())
+	s.Expect(s.manager.Stats.Unproved.Load()).To(BeEquivalentTo(1))
+	s.manager.ApplyMaxKeyAge(0)
+	s.Expect(s.sendKey("a")).To(Equal(http.StatusOK))
+}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -258,7 +258,7 @@
 		return true
 	}
 	newest := q.m.opts.Loop.View()
-	if q.customerChanged(newest.Table, server) {
+	if q.withdrawForCustomer(newest, server) {
 		return true
 	}
 	if placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
@@ -326,8 +326,8 @@
 	case failure != nil:
 		q.m.Stats.Passed.Add(1)
 		q.writeAnswer(failure)
-	case !q.ran && q.keyWithdrawn:
-		q.rejectKey()
+	case !q.ran && q.admission != admitted:
+		q.reject()
 	case !q.ran:
 		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -50,8 +50,10 @@
 	Dialect Dialect
 	Region  state.RegionName // of this instance
 	Retry   quota.RetryLimit
-	Log     hclog.Logger
-	Metrics metrics.Registry
+	// MaxKeyAge is the age of the instance's knowledge of the store above which requests with a key are refused; 0 for none.
+	MaxKeyAge time.Duration
+	Log       hclog.Logger
+	Metrics   metrics.Registry
 	// OnLimitEnd is called when a backend server names no limit any more. It must not block.
 	OnLimitEnd func(catalog.LimitEnded)
 	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
@@ -63,6 +65,7 @@
 type Manager struct {
 	opts      Options
 	retry     atomic.Pointer[quota.RetryLimit]
+	maxKeyAge atomic.Int64 // time.Duration; 0 for none
 	sizes     *answerSizes
 	log       *decisionLog
 	latencies *latencies
@@ -82,6 +85,7 @@
 	NoRoute   atomic.Uint64 // answered 404
 	NoKey     atomic.Uint64 // answered 401: the request has no known key, and its route requires one
 	Anonymous atomic.Uint64 // requests without a known key on routes that allow it, where the table has customers
+	Unproved  atomic.Uint64 // requests with a key that were refused because this instance's knowledge of the keys may be too old
 	Left      atomic.Uint64 // requests whose caller disconnected early
 	Cut       atomic.Uint64 // answers aborted while their rest was streamed to the caller
 	Retries   atomic.Uint64
@@ -100,12 +104,16 @@
 func New(opts Options) *Manager {
 	m := &Manager{opts: opts, sizes: newAnswerSizes(), log: newDecisionLog(opts.Log), latencies: newLatencies(opts.Metrics)}
 	m.ApplyRetryLimit(opts.Retry)
+	m.ApplyMaxKeyAge(opts.MaxKeyAge)
 	return m
 }
 
 // ApplyRetryLimit changes the limit on retries.
 func (m *Manager) ApplyRetryLimit(limit quota.RetryLimit) { m.retry.Store(&limit) }
 
+// ApplyMaxKeyAge changes Options.MaxKeyAge.
+func (m *Manager) ApplyMaxKeyAge(age time.Duration) { m.maxKeyAge.Store(int64(age)) }
+
 // ServeHTTP forwards one request and writes its answer.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.Stats.Requests.Add(1)
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -24,26 +24,26 @@
 
 // request is one caller's request in progress. One goroutine owns it.
 type request struct {
-	m            *Manager
-	w            http.ResponseWriter
-	r            *http.Request
-	view         *catalog.View
-	arrived      state.Instant
-	caller       Caller
-	route        *routing.Route    // nil until matched
-	customer     *routing.Customer // nil without a known key, and before identify
-	identified   *routing.Table    // by which customer was looked up last
-	guarded      bool              // a table with customers was in force: neither the key nor the caller's own customer header goes to a server
-	service      state.ServiceName
-	timeout      time.Duration // from arrival to the final answer
-	body         []byte        // whole, or its first maxBufferedBody bytes
-	rest         io.Reader     // the body after those bytes; nil when body is whole
-	tried        []state.BackendName
-	sent         int           // times that a backend server got or may have got the request
-	ran          bool          // the request has run or may have run
-	keyWithdrawn bool          // the newest table does not admit the request any more
-	lastOutcome  string        // outcome of the last exchange, or why there was no further one
-	retryAfter   time.Duration // when a refused caller should return; 0 until placement has found no server
+	m           *Manager
+	w           http.ResponseWriter
+	r           *http.Request
+	view        *catalog.View
+	arrived     state.Instant
+	caller      Caller
+	route       *routing.Route    // nil until matched
+	customer    *routing.Customer // nil without a known key, and before identify
+	identified  *routing.Table    // by which customer was looked up last
+	guarded     bool              // a table with customers was in force: neither the key nor the caller's own customer header goes to a server
+	service     state.ServiceName
+	timeout     time.Duration // from arrival to the final answer
+	body        []byte        // whole, or its first maxBufferedBody bytes
+	rest        io.Reader     // the body after those bytes; nil when body is whole
+	tried       []state.BackendName
+	sent        int           // times that a backend server got or may have got the request
+	ran         bool          // the request has run or may have run
+	admission   admission     // by the last look-up of the customer
+	lastOutcome string        // outcome of the last exchange, or why there was no further one
+	retryAfter  time.Duration // when a refused caller should return; 0 until placement has found no server
 }
 
 // readBody reads the body, or its first maxBufferedBody bytes. It answers and returns false when the request exceeds a limit,
--- a/transport/peers/facts.go
+++ b/transport/peers/facts.go
@@ -24,10 +24,12 @@
 	factsTimeout = 700 * time.Millisecond
 )
 
-// Handler serves other instances: on factsPath all that this one knows of the store, on relayPath the stream of the relay.
+// Handler serves other instances: on factsPath all that this one knows of the store, on relayPath the stream of
+// the relay, on proofPath how old its knowledge may be.
 func Handler(loop *catalog.Loop, relay *Relay) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relayPath, relay)
+	mux.HandleFunc("GET "+proofPath, proofHandler(loop))
 	mux.HandleFunc("GET "+factsPath, func(w http.ResponseWriter, r *http.Request) {
 		after, err := parseRevision(r.URL.Query())
 		if err != nil {
