--- a/cmd/azb-front/customers_test.go
+++ b/cmd/azb-front/customers_test.go
@@ -208,6 +208,26 @@
 	f.Expect(a.status).To(Equal(http.StatusOK))
 }
 
+// Guards against a second server that gets a request after its key was removed, because the first one failed.
+func TestKeyRemovedBeforeARetry(t *testing.T) {
+	f := newFixture(t, 2)
+	for _, s := range f.servers {
+		s.Work = 2 * time.Second // the configuration changes meanwhile
+		s.Set(standin.Fail)
+	}
+	f.putCustomers(2, []string{aliceKey}, []string{bobKey})
+	done := make(chan answer, 1)
+	go func() {
+		done <- f.sendHeader(f.client(), "failed", http.MethodGet, standin.ReadPath+"a", keyed([]string{bobKey}), nil)
+	}()
+	f.Eventually(func() int { return f.runs("failed") }, waitTimeout).Should(Equal(1))
+	f.putCustomers(3, []string{aliceKey}, []string{newBobKey})
+	var a answer
+	f.Eventually(done, waitTimeout).Should(Receive(&a))
+	f.Expect(a.status).To(Equal(http.StatusInternalServerError), "the first server's answer")
+	f.Expect(f.runs("failed")).To(Equal(1))
+}
+
 // Guards against requests of a customer that is bound to regions at servers elsewhere.
 func TestCustomersRegionsBindItsRequests(t *testing.T) {
 	f := newFixture(t, 1)
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -86,6 +86,18 @@
 		}
 		return int64(v.Table.Version)
 	})
+	gauge("control.customers", func(v *catalog.View) int64 {
+		if v.Table == nil {
+			return 0
+		}
+		return int64(len(v.Table.Customers))
+	})
+	gauge("control.knowledge_age_ms", func(v *catalog.View) int64 {
+		if v.VerifiedAt == 0 {
+			return -1
+		}
+		return v.Age(p.loop.Now()).Milliseconds()
+	})
 	gauge("control.unknown_types", func(v *catalog.View) int64 {
 		if v.Table == nil {
 			return 0
--- a/transport/metastore/verifier.go
+++ b/transport/metastore/verifier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,8 @@
 	verificationsPerBound = 4
 	// minVerifyInterval bounds the calls of a Verifier with a short bound.
 	minVerifyInterval = 200 * time.Millisecond
+	// verifyJitter is the part of the interval by which it varies, so that instances that start together do not call together.
+	verifyJitter = 0.4
 	// idleVerifyInterval is the time between the checks whether a Verifier without a bound has got one.
 	idleVerifyInterval = time.Second
 	// storeVerifyTimeout and peerVerifyTimeout bound the calls for one proof: the store answers within milliseconds.
@@ -71,6 +74,7 @@
 		if bound > 0 {
 			v.verify(ctx, bound)
 			pause = max(minVerifyInterval, bound/verificationsPerBound)
+			pause += time.Duration(verifyJitter * float64(pause) * (rand.Float64() - 0.5))
 		}
 		if !wait.For(ctx, pause) {
 			return
