azb-front: test of strict revocation by another instance's proofs

Result: an instance that no store answers serves known keys by another instance's proofs, admits no removed key after the bound, and refuses keys once no proof comes.

--- a/cmd/azb-front/customers_test.go
+++ b/cmd/azb-front/customers_test.go
@@ -378,3 +378,41 @@
 	f.awaitTable(3)
 	f.store.WithholdEvents(false)
 }
+
+// startCutOff starts an instance that no store answers. It knows the first instance.
+func (f *fixture) startCutOff(name string) *program {
+	f.t.Helper()
+	own := f.store
+	defer func() { f.store = own }()
+	f.store = standin.NewStore()
+	f.t.Cleanup(f.store.Close)
+	f.store.SetFault(standin.Reset)
+	f.seeds = []string{f.program.cfg.Peers.String()}
+	return f.start(name)
+}
+
+// Guards against an instance that is cut off from the store and, with strict revocation, refuses keys although another instance
+// proves its knowledge, or admits a key that was removed longer ago than the bound.
+func TestStrictRevocationByAnotherInstance(t *testing.T) {
+	f := newCustomerFixture(t, 1)
+	f.Eventually(func() bool { return f.program.loop.View().FleetKey != nil }, waitTimeout).Should(BeTrue())
+	first := f.program
+	first.setStrictRevocation(true)
+	f.program = f.startCutOff("front-2")
+	f.program.setStrictRevocation(true)
+	send := func(key string) func() int {
+		return func() int {
+			f.lastRequest++
+			return f.sendHeader(f.client(), fmt.Sprint(f.lastRequest), http.MethodGet, standin.ReadPath+"a", keyed([]string{key}), nil).status
+		}
+	}
+	f.Eventually(send(aliceKey), waitTimeout).Should(Equal(http.StatusOK))
+	f.Expect(f.program.verifier.Stats.ByStore.Load()).To(BeZero())
+	f.store.PutCustomers(3, longTimeout, targetLatency, map[string]standin.Customer{"alice": {Keys: []string{aliceKey}}})
+	time.Sleep(revokeAfter + time.Millisecond)
+	f.Expect(send(bobKey)()).To(BeElementOf(http.StatusUnauthorized, http.StatusServiceUnavailable))
+	f.Eventually(send(bobKey), waitTimeout).Should(Equal(http.StatusUnauthorized))
+	f.Eventually(send(aliceKey), waitTimeout).Should(Equal(http.StatusOK))
+	first.setStrictRevocation(false) // it gets no further proofs
+	f.Eventually(send(aliceKey), waitTimeout).Should(Equal(http.StatusServiceUnavailable))
+}
