--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -74,7 +74,7 @@
 // registerMetrics adds the counters of all components to the registry.
 func (p *program) registerMetrics() {
 	observe.Register(p.metrics, map[string]any{
-		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
+		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats, "verifier": &p.verifier.Stats,
 		"peers": &p.peers.Stats, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.logWriter.Dropped,
 	})
 	gauge := func(name string, read func(v *catalog.View) int64) {
@@ -86,6 +86,24 @@
 		}
 		return int64(v.Table.Version)
 	})
+	gauge("control.customers", func(v *catalog.View) int64 {
+		if v.Table == nil {
+			return 0
+		}
+		return int64(len(v.Table.Customers))
+	})
+	gauge("control.knowledge_age_ms", func(v *catalog.View) int64 {
+		if v.VerifiedAt == 0 {
+			return -1
+		}
+		return v.Age(p.loop.Now()).Milliseconds()
+	})
+	gauge("control.unknown_types", func(v *catalog.View) int64 {
+		if v.Table == nil {
+			return 0
+		}
+		return int64(v.Table.UnknownTypes())
+	})
 	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision.Number) })
 	p.metrics.GetOrRegister("store.era", metrics.NewFunctionalGauge(func() int64 { return int64(p.store.Era()) }))
 	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
