membudget: one byte budget for what a process holds for callers and servers

Cause: bodies of requests, answers, heads and connections are each bounded, but not together.

Change: a budget with an account for each connection and a hold for each request. Capacity is reserved in steps as bytes arrive. The decisions are functions without I/O.

--- /dev/null
+++ b/transport/membudget/budget.go
@@ -0,0 +1,232 @@
+// Package membudget bounds the memory of a process that is held for callers and for servers: bodies of requests, answers,
+// heads, and what each connection and request in progress needs. Everything is reserved before it is allocated, by capacity.
+package membudget
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"azurebridge/state"
+)
+
+const (
+	// releaseWait bounds how long a reservation waits for the memory of owners that have been closed for it. Their goroutines end
+	// within milliseconds.
+	releaseWait = 200 * time.Millisecond
+	// scanPause is the min time between two searches for owners to close. Under load most reservations would repeat a search
+	// that has found none.
+	scanPause = 50 * time.Millisecond
+)
+
+// Owner is a connection that memory is held for.
+type Owner interface {
+	// Stalled returns what the owner waits for.
+	Stalled() Stall
+	// Evict closes the owner, unless it does not wait for its caller any more. Its memory is released soon after.
+	Evict() bool
+}
+
+// Budget is the memory of a process for callers and servers. It is safe for concurrent use.
+type Budget struct {
+	limits limits
+	clock  func() state.Instant
+	Stats  Stats
+
+	mu       sync.Mutex
+	used     int64
+	accounts map[*Account]struct{}
+	released chan struct{} // closed at the next release; nil while nobody waits for it
+	scanned  state.Instant // last search that found no owner to close
+}
+
+// Stats counts what the budget has decided.
+type Stats struct {
+	Refused atomic.Uint64 // reservations refused because the budget was used up
+	Evicted atomic.Uint64 // connections closed to release their memory for others
+	Used    atomic.Int64  // bytes that are reserved now
+}
+
+// New returns a budget of the given number of bytes; 0 sets no bound.
+func New(total int64, clock func() state.Instant) *Budget {
+	return &Budget{limits: newLimits(total), clock: clock, accounts: make(map[*Account]struct{})}
+}
+
+// Account is the part of a budget that one owner holds. A nil *Account has no bound. It is safe for concurrent use.
+type Account struct {
+	budget *Budget
+	owner  Owner
+	held   int64 // guarded by budget.mu
+}
+
+// Open returns an empty account, or nil when the budget is nil.
+func (b *Budget) Open(owner Owner) *Account {
+	if b == nil {
+		return nil
+	}
+	a := &Account{budget: b, owner: owner}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts[a] = struct{}{}
+	return a
+}
+
+// Close removes the account once all of its holds have been freed.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	delete(a.budget.accounts, a)
+}
+
+// Hold is the memory of one request or one connection. A nil *Hold has no bound. One goroutine at a time uses it.
+type Hold struct {
+	account *Account
+	small   bool
+	held    int64
+}
+
+// Hold returns an empty hold. A small one may use the reserve while it has up to SmallBytes.
+func (a *Account) Hold(small bool) *Hold {
+	if a == nil {
+		return nil
+	}
+	return &Hold{account: a, small: small}
+}
+
+// Reserve reserves n bytes. When the budget is used up, it closes owners without progress and waits for their memory for
+// releaseWait at most, and returns false when there is not enough then.
+func (h *Hold) Reserve(n int64) bool { return h.reserve(n, true) }
+
+// reserve is Reserve for a part of the hold that is small or not.
+func (h *Hold) reserve(n int64, small bool) bool {
+	if h == nil {
+		return true
+	}
+	b := h.account.budget
+	var timeout <-chan time.Time
+	for {
+		missing, released := h.try(n, small)
+		if missing == 0 {
+			return true
+		}
+		if timeout == nil {
+			if !b.makeRoom(h.account, missing) {
+				break
+			}
+			timer := time.NewTimer(releaseWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-released:
+			continue
+		case <-timeout:
+		}
+		break
+	}
+	b.Stats.Refused.Add(1)
+	return false
+}
+
+// try reserves n bytes, or returns how many are missing and a channel that is closed at the next release.
+func (h *Hold) try(n int64, small bool) (missing int64, released <-chan struct{}) {
+	b := h.account.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	missing = b.limits.missing(b.used, n, small && h.small && h.held+n <= SmallBytes)
+	if missing == 0 {
+		h.change(n)
+		return 0, nil
+	}
+	if b.released == nil {
+		b.released = make(chan struct{})
+	}
+	return missing, b.released
+}
+
+// Add reserves n bytes that are needed in any case, also beyond the bound.
+func (h *Hold) Add(n int64) {
+	if h == nil {
+		return
+	}
+	h.account.budget.mu.Lock()
+	defer h.account.budget.mu.Unlock()
+	h.change(n)
+}
+
+// Release releases n bytes.
+func (h *Hold) Release(n int64) {
+	if h == nil || n == 0 {
+		return
+	}
+	h.account.budget.mu.Lock()
+	defer h.account.budget.mu.Unlock()
+	h.release(n)
+}
+
+// Free releases everything.
+func (h *Hold) Free() {
+	if h == nil {
+		return
+	}
+	h.account.budget.mu.Lock()
+	defer h.account.budget.mu.Unlock()
+	h.release(h.held)
+}
+
+// release is Release with budget.mu held on entry.
+func (h *Hold) release(n int64) {
+	b := h.account.budget
+	h.change(-n)
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
+}
+
+// change adds n bytes to what is held. budget.mu is held on entry.
+func (h *Hold) change(n int64) {
+	b := h.account.budget
+	h.held += n
+	h.account.held += n
+	b.used += n
+	b.Stats.Used.Store(b.used)
+}
+
+// makeRoom closes owners without progress, but for the one that asks, to release the missing bytes. It returns false when that
+// would not release enough.
+func (b *Budget) makeRoom(asking *Account, missing int64) bool {
+	now := b.clock()
+	var accounts []*Account
+	var holdings []Holding
+	b.mu.Lock()
+	if b.scanned != 0 && now.Sub(b.scanned) < scanPause {
+		b.mu.Unlock()
+		return false
+	}
+	for a := range b.accounts {
+		if a != asking {
+			accounts, holdings = append(accounts, a), append(holdings, Holding{Held: a.held})
+		}
+	}
+	b.mu.Unlock()
+	for i, a := range accounts { // owners have locks of their own
+		holdings[i].Stall = a.owner.Stalled()
+	}
+	chosen := ToClose(holdings, missing, now)
+	if chosen == nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.scanned = now
+		return false
+	}
+	for _, i := range chosen {
+		if accounts[i].owner.Evict() {
+			b.Stats.Evicted.Add(1)
+		}
+	}
+	return true
+}
