azb-front: one memory budget for callers and servers, and a bound on callers' connections

Cause: each body of a request and each answer was buffered up to 1 MiB, heads up to 64 KiB, without a common bound; callers' connections were bounded by descriptors only. 96 clients with 1 MiB each made a process with memory_mb = 72 use 116 to 248 MiB.

Change: three tenths of memory_mb are the budget for heads, bodies, answers, connections and requests in progress. When it is used up, stalled connections are closed, then requests are refused with 503, Retry-After and the end of the connection, large ones before small ones; an answer of a server whose body finds no memory is streamed instead of held. A caller that sends nothing of a body for 15 s gets 408. Half of the descriptors, from the new setting max_fds or the system's limit, are for callers' connections; the longest idle one is closed for a new one. After the last answer at most 4 MiB are read and dropped. A caller that does not read the last answer of its connection is now closed after 30 s, as for any other answer.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -34,6 +34,7 @@
 	"azurebridge/transport/callerconn"
 	"azurebridge/transport/eventlog"
 	"azurebridge/transport/front"
+	"azurebridge/transport/membudget"
 	"azurebridge/transport/metastore"
 	"azurebridge/transport/peers"
 	"azurebridge/transport/status"
@@ -45,9 +46,6 @@
 	// sweepInterval is the time between checks for connections that exceed a limit; such a connection is closed with at most
 	// this delay.
 	sweepInterval = 2 * time.Second
-	// memoryLimitFraction is the fraction of the process's memory that is set as the Go runtime's soft memory limit, near which
-	// the garbage collector works harder.
-	memoryLimitFraction = 0.6
 )
 
 // maxServers is the maximum number of HTTP servers of the process.
@@ -59,21 +57,6 @@
 // tableWait is how long requests wait for the first routing table.
 const tableWait = 500 * time.Millisecond
 
-// aheadMemoryFraction is the fraction of the process's memory that answers may take that wait for an earlier one of their
-// connection; each has up to backendconn.MaxBuffered bytes.
-const aheadMemoryFraction = 0.25
-
-// unlimitedAhead bounds such requests where the settings state no memory.
-const unlimitedAhead = 256
-
-// maxAhead returns the max number of requests that are in progress behind another one of their connection.
-func maxAhead(memoryMegabyte float64) int {
-	if memoryMegabyte == 0 {
-		return unlimitedAhead
-	}
-	return max(1, int(memoryMegabyte*(1<<20)*aheadMemoryFraction/backendconn.MaxBuffered))
-}
-
 // program holds the components of the process.
 type program struct {
 	cfg         *settings.Front
@@ -94,6 +77,7 @@
 	relay       *peers.Relay
 	readers     *peers.Subscriber // receives changes from the readers, the instances that watch the store
 	callers     *callerconn.Server
+	memory      *membudget.Budget
 	listener    net.Listener // of callers
 }
 
@@ -133,9 +117,10 @@
 		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
 		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
 	})
+	p.memory = membudget.New(budgetBytes(cfg.Limits.MemoryMegabyte), p.loop.Now)
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
-		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte),
+		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte), MaxConns: maxConns(descriptorLimit(cfg.Limits.MaxDescriptors)), Budget: p.memory,
 	})
 	var err error
 	p.peers, err = peers.New(peers.Options{
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -74,7 +74,7 @@
 // registerMetrics adds the counters of all components to the registry.
 func (p *program) registerMetrics() {
 	observe.Register(p.metrics, map[string]any{
-		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
+		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "memory": &p.memory.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
 		"peers": &p.peers.Stats, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.logWriter.Dropped,
 	})
 	gauge := func(name string, read func(v *catalog.View) int64) {
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -37,6 +37,7 @@
 	ColdFactor     float64 // multiple of the service's ColdRate that a cold backend server may get
 	ColdTolerance  float64 // requests/s in addition to ColdFactor
 	MemoryMegabyte float64 // memory of the process in MiB; 0 sets no limit
+	MaxDescriptors float64 // open descriptors that the process may have; 0 if not known
 	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
 }
 
@@ -94,6 +95,7 @@
 		ColdFactor:     s.Number("cold_factor", 1, 0, maxShare),
 		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxCount),
 		MemoryMegabyte: s.Number("memory_mb", 0, 0, maxMegabyte),
+		MaxDescriptors: s.Number("max_fds", 0, 0, maxCount),
 		LinkMbps:       s.Number("link_mbps", 0, 0, maxMbps),
 	}
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -105,6 +105,11 @@
 		{"cold_tolerance = 2000000", func(l *FrontLimits) any { return l.ColdTolerance }, 2e6},
 		{"memory_mb = 136.5", func(l *FrontLimits) any { return l.MemoryMegabyte }, 136.5},
 		{"memory_mb = 0", func(l *FrontLimits) any { return l.MemoryMegabyte }, 0.0},
+		{"max_fds = 2870", func(l *FrontLimits) any { return l.MaxDescriptors }, 2870.0},
+		{"max_fds = 2869.5", func(l *FrontLimits) any { return l.MaxDescriptors }, 2869.5},
+		{"max_fds = 0", func(l *FrontLimits) any { return l.MaxDescriptors }, 0.0},
+		{"max_fds = 1073741816", func(l *FrontLimits) any { return l.MaxDescriptors }, 1073741816.0},
+		{"", func(l *FrontLimits) any { return l.MaxDescriptors }, 0.0},
 		{"link_mbps = 19.999999999999996", func(l *FrontLimits) any { return l.LinkMbps }, 19.999999999999996},
 		{"link_mbps = 4000000", func(l *FrontLimits) any { return l.LinkMbps }, 4e6},
 	} {
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/state"
+	"azurebridge/transport/membudget"
 )
 
 // Bounds of an exchange.
@@ -64,6 +65,8 @@
 	Chunked bool          // the body is sent in chunks, because its length is not known
 	NoBody  bool          // the method is HEAD, so that the answer has no body
 	MaxIdle time.Duration // max idle time of a connection that is reused for the request
+	// Memory is where the answer's body is reserved; nil sets no bound.
+	Memory *membudget.Hold
 	// Withdrawn is called once the connection is open, before anything is sent. When it returns true, Do closes the connection
 	// and fails with ErrWithdrawn.
 	Withdrawn func() bool
@@ -81,7 +84,7 @@
 	Status int
 	Header http.Header
 	Body   []byte        // whole when Rest is nil, else its first bytes
-	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered
+	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered, or than the memory that is left
 	// Connect is how long it took to open the connection; 0 when one was reused.
 	Connect time.Duration
 }
@@ -165,16 +168,10 @@
 		return nil, err
 	}
 	a := &Answer{Marks: marks, Status: resp.StatusCode, Header: resp.Header}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBuffered+1))
-	if err != nil {
+	if err := x.readBody(a, resp); err != nil {
 		return nil, x.failure("read answer of", true, err)
 	}
-	if len(body) > MaxBuffered && !marks.Signed {
-		return nil, x.failure("read answer of", true, errors.New("the body is too long for an unsigned answer"))
-	}
-	a.Body = body
-	if len(body) > MaxBuffered {
-		a.Rest = &restReader{x: x, resp: resp}
+	if a.Rest != nil {
 		return a, nil
 	}
 	x.release(resp)
@@ -273,12 +270,10 @@
 
 // restReader streams the rest of a large answer. Close closes the connection.
 type restReader struct {
-	x    *exchange
-	resp *http.Response
+	io.Reader
+	x *exchange
 }
 
-func (r *restReader) Read(b []byte) (int, error) { return r.resp.Body.Read(b) }
-
 func (r *restReader) Close() error {
 	r.x.stop()
 	return r.x.conn.Close()
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"azurebridge/state"
+	"azurebridge/transport/membudget"
 )
 
 // Sizes of a connection's buffers, in bytes.
@@ -32,12 +33,15 @@
 // the limits. Each request in progress has a goroutine of its own; the one of the oldest request may write.
 type conn struct {
 	net.Conn
-	server *Server
-	source *source
-	reader *bufio.Reader
-	writer *bufio.Writer
-	ctx    context.Context // ends when the caller has left or the connection is aborted
-	cancel context.CancelFunc
+	server  *Server
+	source  *source
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	account *membudget.Account
+	base    *membudget.Hold // of the connection itself
+	head    *membudget.Hold // of the head that is being read; the reader goroutine uses it
+	ctx     context.Context // ends when the caller has left or the connection is aborted
+	cancel  context.CancelFunc
 
 	mu       sync.Mutex
 	changed  sync.Cond   // the queue has become shorter, or the connection ends
@@ -46,6 +50,7 @@
 	watching bool        // the reader watches for the caller's leaving while it waits for the queue
 	partial  bool        // bytes have been read that belong to no request of the queue
 	since    state.Instant
+	wait     bodyWait
 	writing  state.Instant // start of the current write; 0 when there is none
 	stopping bool          // no further requests are taken up; the last answer says so
 	closing  bool          // the last answer has been sent or is being sent
@@ -55,7 +60,10 @@
 func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
 	c := &conn{Conn: nc, server: s, ctx: ctx, cancel: cancel, since: s.opts.Clock()}
 	c.changed.L = &c.mu
+	c.account = s.opts.Budget.Open(c)
+	c.base = c.account.Hold(true)
 	c.source = newSource(nc, c.startHeld)
+	c.source.charge = c.chargeHead
 	c.reader = bufio.NewReaderSize(tracker{c}, readBuffer)
 	c.writer = bufio.NewWriterSize(stallTracker{c}, writeBuffer)
 	return c
@@ -84,6 +92,10 @@
 // serve is the reader goroutine.
 func (c *conn) serve() {
 	defer c.end()
+	if !c.base.Reserve(connCost) {
+		c.server.Stats.Crowded.Add(1)
+		c.abort()
+	}
 	for c.takeRequest() {
 	}
 }
@@ -98,11 +110,12 @@
 	}
 	c.startHeld()
 	if rejected != nil {
-		c.server.Stats.Malformed.Add(1)
+		rejected.count.Add(1)
 		r = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true, Body: http.NoBody}
 	}
 	x := newExchange(c, r, rejected)
 	if !c.enqueue(x) || !c.awaitRoom(x) {
+		x.head.Free()
 		c.server.Stats.Unread.Add(1)
 		return false
 	}
@@ -243,9 +256,10 @@
 	c.mu.Unlock()
 	if linger {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // fails only for a closed connection
-		_, _ = io.Copy(io.Discard, c.Conn)                // until the caller closes or the deadline
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)  // until the caller closes, the deadline or the bound
 	}
 	c.abort()
+	c.freeMemory()
 	c.server.remove(c)
 }
 
@@ -275,6 +289,7 @@
 		return
 	}
 	c.queue = slices.Delete(c.queue, i, i+1)
+	x.head.Free()
 	x.leaveAhead()
 	if i == 0 && len(c.queue) > 0 {
 		c.queue[0].leaveAhead()
--- a/transport/callerconn/conns_test.go
+++ b/transport/callerconn/conns_test.go
@@ -41,15 +41,19 @@
 	}))
 }
 
-// startServer starts a server with a handler.
-func startServer(t *testing.T, handler http.Handler) *callerServer {
+// startServer starts a server with a handler and further options.
+func startServer(t *testing.T, handler http.Handler, options ...func(*Options)) *callerServer {
 	t.Helper()
 	c := &callerServer{WithT: NewWithT(t)}
 	c.now.Store(int64(time.Hour))
-	c.Server = NewServer(Options{
+	opts := Options{
 		Handler: handler, Clock: func() state.Instant { return state.Instant(c.now.Load()) }, Log: hclog.NewNullLogger(),
 		MaxHeader: 8 << 10, MaxAhead: 40,
-	})
+	}
+	for _, set := range options {
+		set(&opts)
+	}
+	c.Server = NewServer(opts)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = c.Serve(ln) }() // ends when the listener is closed
--- a/transport/callerconn/exchange.go
+++ b/transport/callerconn/exchange.go
@@ -6,25 +6,30 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"azurebridge/transport/membudget"
 )
 
 // exchange is a request of a connection and its answer in progress.
 type exchange struct {
 	conn     *conn
 	request  *http.Request
-	rejected *rejection    // set when the request is answered without the handler
-	body     *body         // nil when the request has none
-	turn     chan struct{} // closed when all earlier requests have been answered
-	ahead    bool          // it has one of the places of Options.MaxAhead; guarded by conn.mu
+	head     *membudget.Hold // of its head
+	rejected *rejection      // set when the request is answered without the handler
+	body     *body           // nil when the request has none
+	turn     chan struct{}   // closed when all earlier requests have been answered
+	ahead    bool            // it has one of the places of Options.MaxAhead; guarded by conn.mu
 	started  atomic.Bool
 	response response
 }
 
 func newExchange(c *conn, r *http.Request, rejected *rejection) *exchange {
-	x := &exchange{conn: c, request: r.WithContext(c.ctx), rejected: rejected, turn: make(chan struct{})}
+	x := &exchange{conn: c, request: r.WithContext(c.ctx), rejected: rejected, turn: make(chan struct{}), head: c.head}
+	c.head = nil
 	x.response.exchange = x
 	if r.Body != nil && r.Body != http.NoBody {
-		x.body = newBody(r.Body)
+		c.resetWait()
+		x.body = newBody(bodyReader{c, r.Body})
 		x.request.Body = x.body
 		if expectsContinue(r) {
 			x.body.sendInterim = x.response.sendContinue
@@ -59,6 +64,9 @@
 
 func (x *exchange) respondRejected() {
 	x.response.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if x.rejected.status == http.StatusServiceUnavailable {
+		x.response.Header().Set("Retry-After", busyRetryAfter)
+	}
 	x.response.WriteHeader(x.rejected.status)
 	_, _ = x.response.Write([]byte(http.StatusText(x.rejected.status) + ": " + x.rejected.reason + "\n")) // finish reports errors
 }
--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -34,12 +34,14 @@
 	stats := &c.server.Stats
 	age := now.Sub(c.since)
 	switch {
-	case c.closed || c.closing:
+	case c.closed:
 	case c.writing != 0 && now.Sub(c.writing) > maxWriteTime:
 		stats.SlowReaders.Add(1)
 		c.cancel()
 		c.closeNow()
+	case c.closing:
 	case len(c.queue) > 0:
+		c.expireBody(now)
 	case !c.partial && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
 		stats.Idle.Add(1)
 		c.closeNow()
--- a/transport/callerconn/request.go
+++ b/transport/callerconn/request.go
@@ -15,6 +15,7 @@
 type rejection struct {
 	status int
 	reason string
+	count  *atomic.Uint64 // of such requests
 }
 
 // Error returns the reason.
@@ -22,41 +23,48 @@
 
 // readRequest reads the head of the next request. Errors other than a *rejection end the connection.
 func (c *conn) readRequest() (*http.Request, error) {
-	c.source.remaining = int64(c.server.opts.MaxHeader)
+	stats := &c.server.Stats
+	c.source.beginHead(int64(c.server.opts.MaxHeader))
 	r, err := http.ReadRequest(c.reader)
-	c.source.remaining = unlimited
+	c.source.endHead()
 	switch {
 	case err == nil:
-		return r, validate(r)
+		if rejected := validate(r); rejected != nil {
+			rejected.count = &stats.Malformed
+			return r, rejected
+		}
+		return r, nil
 	case c.source.err != nil:
 		return nil, c.source.err
 	case isTimeout(err):
 		return nil, err
 	case errors.Is(err, errHeadTooLarge):
-		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error()}
+		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge.Error(), &stats.Malformed}
+	case errors.Is(err, errNoMemory):
+		return nil, &rejection{http.StatusServiceUnavailable, errNoMemory.Error(), &stats.NoMemory}
 	}
-	return nil, &rejection{http.StatusBadRequest, err.Error()}
+	return nil, &rejection{http.StatusBadRequest, err.Error(), &stats.Malformed}
 }
 
 // validate rejects what another server might read differently than this one.
-func validate(r *http.Request) error {
+func validate(r *http.Request) *rejection {
 	switch {
 	case r.ProtoMajor != 1:
-		return &rejection{http.StatusHTTPVersionNotSupported, "unsupported version " + r.Proto}
+		return &rejection{status: http.StatusHTTPVersionNotSupported, reason: "unsupported version " + r.Proto}
 	case r.Method == http.MethodConnect:
-		return &rejection{http.StatusBadRequest, "unsupported method"}
+		return &rejection{status: http.StatusBadRequest, reason: "unsupported method"}
 	case r.ProtoAtLeast(1, 1) && r.Host == "":
-		return &rejection{http.StatusBadRequest, "missing host"}
+		return &rejection{status: http.StatusBadRequest, reason: "missing host"}
 	case !httpguts.ValidHostHeader(r.Host):
-		return &rejection{http.StatusBadRequest, "malformed host"}
+		return &rejection{status: http.StatusBadRequest, reason: "malformed host"}
 	}
 	for name, values := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return &rejection{http.StatusBadRequest, "invalid header name"}
+			return &rejection{status: http.StatusBadRequest, reason: "invalid header name"}
 		}
 		for _, v := range values {
 			if !httpguts.ValidHeaderFieldValue(v) {
-				return &rejection{http.StatusBadRequest, "invalid header value"}
+				return &rejection{status: http.StatusBadRequest, reason: "invalid header value"}
 			}
 		}
 	}
--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"azurebridge/transport/membudget"
 )
 
 // framing is how the end of an answer's body is marked.
@@ -50,6 +52,9 @@
 // before. A request that must not run once an earlier answer has closed the connection calls it first.
 func (w *response) AwaitTurn(ctx context.Context) error { return w.exchange.awaitTurn(ctx) }
 
+// Memory returns the account of the connection in the process's memory budget, or nil when there is none.
+func (w *response) Memory() *membudget.Account { return w.exchange.conn.account }
+
 // WriteHeader writes the head of the answer.
 func (w *response) WriteHeader(status int) {
 	if w.sent {
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -19,6 +19,7 @@
 
 	"azurebridge/state"
 	"azurebridge/state/routing"
+	"azurebridge/transport/membudget"
 )
 
 const (
@@ -44,6 +45,10 @@
 	// MaxAhead bounds the requests in progress behind another one of their connection, over all connections. Each of them may
 	// hold an answer in memory that cannot be sent yet.
 	MaxAhead int
+	// MaxConns bounds the open connections; 0 sets no bound.
+	MaxConns int
+	// Budget bounds the memory that is held for callers; nil sets no bound.
+	Budget *membudget.Budget
 }
 
 // Server serves callers' connections. It is safe for concurrent use.
@@ -64,6 +69,10 @@
 	Idle         atomic.Uint64 // connections closed because they were idle for longer than the limit
 	SlowHeaders  atomic.Uint64 // connections closed because a request's header was not complete within the limit
 	SlowReaders  atomic.Uint64 // connections closed because the caller did not accept an answer within maxWriteTime
+	SlowBodies   atomic.Uint64 // bodies given up because the caller sent nothing within bodyStallTime
+	Displaced    atomic.Uint64 // idle connections closed for new ones, because MaxConns were open
+	Crowded      atomic.Uint64 // new connections closed for lack of memory, or because MaxConns were open and in use
+	NoMemory     atomic.Uint64 // requests refused for lack of memory for their head
 	Malformed    atomic.Uint64 // requests that could not be read
 	Ahead        atomic.Uint64 // requests taken up while an earlier one of their connection was in progress
 	Held         atomic.Uint64 // requests that waited for an earlier one because of MaxAhead or the bound of the connection
@@ -88,7 +97,9 @@
 			return err
 		default:
 			s.Stats.Accepted.Add(1)
-			go s.add(c).serve()
+			if c := s.admit(c); c != nil {
+				go c.serve()
+			}
 		}
 	}
 }
--- a/transport/callerconn/source.go
+++ b/transport/callerconn/source.go
@@ -12,6 +12,9 @@
 // errHeadTooLarge means that the head of a request is longer than Options.MaxHeader.
 var errHeadTooLarge = errors.New("head of the request is too large")
 
+// errNoMemory means that there is no memory for the head of a request.
+var errNoMemory = errors.New("no memory for the head of the request")
+
 // unlimited is the limit of a source outside the head of a request.
 const unlimited = int64(1) << 62
 
@@ -22,6 +25,10 @@
 	raw        syscall.RawConn // nil for a connection that is no socket
 	beforeWait func()
 	remaining  int64
+	charge     func(n int) bool // reserves memory for n bytes of a head beyond the first readBuffer
+	inHead     bool
+	headBytes  int   // that have been read since the head began
+	refused    bool  // charge has returned false
 	err        error // of the connection
 
 	// Inputs and outputs of readReady, which the run time calls.
@@ -47,15 +54,36 @@
 	if s.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
+	if s.inHead && s.refused {
+		return 0, errNoMemory
+	}
 	b = b[:min(int64(len(b)), s.remaining)]
 	n, err := s.read(b)
 	s.remaining -= int64(n)
+	if s.inHead {
+		s.countHead(n)
+	}
 	if err != nil && !isTimeout(err) {
 		s.err = err
 	}
 	return n, err
 }
 
+// beginHead limits what is read until endHead.
+func (s *source) beginHead(limit int64) {
+	s.remaining, s.inHead, s.headBytes, s.refused = limit, true, 0, false
+}
+
+func (s *source) endHead() { s.remaining, s.inHead = unlimited, false }
+
+// countHead reserves memory for the bytes of a head beyond the first readBuffer.
+func (s *source) countHead(n int) {
+	s.headBytes += n
+	if over := min(n, s.headBytes-readBuffer); over > 0 && s.charge != nil {
+		s.refused = !s.charge(over)
+	}
+}
+
 func (s *source) read(b []byte) (int, error) {
 	if s.raw == nil {
 		s.beforeWait()
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -51,6 +51,7 @@
 		return
 	}
 	defer a.Rest.Close()
+	q.hold.Add(copyCost)
 	if _, err := io.Copy(q.w, a.Rest); err != nil {
 		q.m.Stats.Cut.Add(1)
 		q.log("answer aborted", "error", err.Error())
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -160,6 +160,7 @@
 		Server: server.Name, Address: server.Address, ID: q.caller.RequestID,
 		Head: backendconn.Head(q.r.Method, q.r.RequestURI, q.r.Host, h), Body: q.body, Rest: q.rest,
 		Chunked: h.Get("Transfer-Encoding") != "", NoBody: q.r.Method == http.MethodHead, MaxIdle: idle,
+		Memory:    q.hold,
 		Withdrawn: func() bool { return q.withdrawn(server) },
 	})
 	now := m.opts.Loop.Now()
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -83,7 +83,10 @@
 	Limits    atomic.Uint64 // limits that backend servers have begun to name, changed or ended
 	BadLimits atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
 	ToLimited atomic.Uint64 // requests that were answered by a backend server with a limit
-	InService atomic.Int64  // requests in progress
+	// NoMemory counts requests answered 503 because the memory for callers and servers was used up.
+	NoMemory   atomic.Uint64
+	SlowBodies atomic.Uint64 // answered 408: the caller sent nothing of the body for too long
+	InService  atomic.Int64  // requests in progress
 }
 
 // New returns a Manager.
@@ -105,6 +108,7 @@
 		m: m, w: w, r: r, view: m.opts.Loop.View(), arrived: m.opts.Loop.Now(),
 		caller: m.opts.Dialect.Identify(r.Header),
 	}
+	defer q.freeMemory()
 	q.awaitTable()
 	table := q.view.Table
 	if !q.match() || !q.readBody(table.Limits) || !q.awaitTurn() {
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +12,7 @@
 	"azurebridge/coordination/catalog"
 	"azurebridge/state"
 	"azurebridge/state/routing"
+	"azurebridge/transport/membudget"
 )
 
 const (
@@ -32,9 +32,10 @@
 	caller      Caller
 	route       *routing.Route // nil until matched
 	service     state.ServiceName
-	timeout     time.Duration // from arrival to the final answer
-	body        []byte        // whole, or its first maxBufferedBody bytes
-	rest        io.Reader     // the body after those bytes; nil when body is whole
+	timeout     time.Duration   // from arrival to the final answer
+	hold        *membudget.Hold // memory of the request and its answer; nil sets no bound
+	body        []byte          // whole, or its first maxBufferedBody bytes
+	rest        io.Reader       // the body after those bytes; nil when body is whole
 	tried       []state.BackendName
 	sent        int           // times that a backend server got or may have got the request
 	ran         bool          // the request has run or may have run
@@ -53,6 +54,9 @@
 		q.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
 	}
+	if !q.openHold() {
+		return false
+	}
 	if q.r.ContentLength == 0 {
 		return true
 	}
@@ -60,17 +64,25 @@
 	if limits.MaxBody > 0 {
 		body = http.MaxBytesReader(q.w, q.r.Body, limits.MaxBody)
 	}
-	var b bytes.Buffer
-	_, err := io.CopyN(&b, body, maxBufferedBody)
+	b := membudget.NewBuffer(q.hold, q.r.ContentLength, maxBufferedBody)
+	err := b.Fill(body)
 	q.body = b.Bytes()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		q.rest = body
+	case errors.Is(err, membudget.ErrFull):
+		q.rest = b.Rest(body)
+	case errors.Is(err, membudget.ErrExhausted):
+		q.refuseForMemory()
+		return false
+	case isTimeout(err):
+		q.m.Stats.SlowBodies.Add(1)
+		q.respond(http.StatusRequestTimeout, "no bytes of the body for too long", 0)
+		return false
 	case errors.As(err, &tooLarge):
 		q.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
-	case err != io.EOF:
+	default:
 		q.m.Stats.Left.Add(1)
 		q.log("request body could not be read", "error", err.Error())
 		panic(http.ErrAbortHandler)
