azb-front: bound heads on all addresses; fuzz target checks that memory is released

Cause: the servers for look-ups, readiness, other instances and operators used the library's bound of 1 MB for a head. A caller on a link of 200 Mbit/s could send more than 4 MiB while its refusal was on the way, and lose the answer.

Change: heads are bounded to 64 KiB everywhere, and up to 16 MiB are dropped after the last answer. FuzzSplitReads fails when bytes stay reserved after a connection.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -51,7 +51,8 @@
 // maxServers is the maximum number of HTTP servers of the process.
 const maxServers = 6
 
-// maxHeaderBytes is the maximum size of a request's header, in bytes. The routing table may set a smaller limit.
+// maxHeaderBytes is the maximum size of a request's header on all addresses, in bytes. The routing table may set a smaller limit
+// for callers' requests.
 const maxHeaderBytes = 64 << 10
 
 // tableWait is how long requests wait for the first routing table.
@@ -216,6 +217,11 @@
 	}
 }
 
+// newHTTPServer returns a server for an address other than the callers'.
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // listen opens the listeners and starts a server on each. A server that ends sends its error to failed.
 func (p *program) listen(failed chan<- error) error {
 	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
@@ -225,11 +231,11 @@
 		server  interface{ Serve(net.Listener) error }
 	}{
 		{p.cfg.Callers, p.callers},
-		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Directory, &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Peers, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Control, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Metrics, &http.Server{Handler: status.Handler(p.metrics, p.dump), ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Ready, newHTTPServer(platform.Ready(p.ready))},
+		{p.cfg.Directory, newHTTPServer(directory)},
+		{p.cfg.Peers, newHTTPServer(facts)},
+		{p.cfg.Control, newHTTPServer(facts)},
+		{p.cfg.Metrics, newHTTPServer(status.Handler(p.metrics, p.dump))},
 	} {
 		if !s.address.IsValid() {
 			continue // an optional address
--- a/transport/callerconn/fuzz_test.go
+++ b/transport/callerconn/fuzz_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"azurebridge/state"
+	"azurebridge/transport/membudget"
 )
 
 // scriptedConn is a connection whose caller sends the given bytes in pieces, waits for the answers, and ends its sending side.
@@ -72,8 +73,10 @@
 
 // exchangeAll serves one connection on which the pieces arrive, and returns what the caller gets but for the Date headers.
 func exchangeAll(pieces [][]byte) string {
+	clock := func() state.Instant { return 1 }
+	budget := membudget.New(10<<20, clock)
 	s := NewServer(Options{
-		Clock: func() state.Instant { return 1 }, Log: hclog.NewNullLogger(), MaxHeader: 8 << 10, MaxAhead: 40,
+		Clock: clock, Log: hclog.NewNullLogger(), MaxHeader: 8 << 10, MaxAhead: 40, Budget: budget,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
@@ -85,6 +88,9 @@
 	c := &scriptedConn{pieces: pieces}
 	c.served = s.add(c)
 	c.served.serve()
+	if used := budget.Stats.Used.Load(); used != 0 {
+		panic(fmt.Sprintf("%d bytes stay reserved after the connection has ended", used))
+	}
 	return regexp.MustCompile(`Date: [^\r]*\r\n`).ReplaceAllString(c.written.String(), "")
 }
 
--- a/transport/callerconn/memory.go
+++ b/transport/callerconn/memory.go
@@ -22,8 +22,9 @@
 	// progressStep is the number of bytes of a body that count as progress when the memory is used up: otherwise a caller that
 	// sends single bytes would hold memory for any time.
 	progressStep = 4 << 10
-	// lingerBytes bounds what is read and dropped after the last answer, besides lingerTime.
-	lingerBytes = 4 << 20
+	// lingerBytes bounds what is read and dropped after the last answer, besides lingerTime, in which a link of 200 Mbit/s carries
+	// 12.5 MB.
+	lingerBytes = 16 << 20
 	// busyRetryAfter is the Retry-After of a request that is refused for lack of memory.
 	busyRetryAfter = "1.00"
 )
