--- a/cmd/azb-front/fixture_test.go
+++ b/cmd/azb-front/fixture_test.go
@@ -51,6 +51,13 @@
 	return b.b.Write(p)
 }
 
+// text returns everything that has been written.
+func (b *logBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
 // lines returns the log lines that have the given message.
 func (b *logBuffer) lines(message string) []map[string]any {
 	b.mu.Lock()
