--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -34,6 +34,7 @@
 	"azurebridge/transport/callerconn"
 	"azurebridge/transport/eventlog"
 	"azurebridge/transport/front"
+	"azurebridge/transport/membudget"
 	"azurebridge/transport/metastore"
 	"azurebridge/transport/peers"
 	"azurebridge/transport/status"
@@ -45,35 +46,18 @@
 	// sweepInterval is the time between checks for connections that exceed a limit; such a connection is closed with at most
 	// this delay.
 	sweepInterval = 2 * time.Second
-	// memoryLimitFraction is the fraction of the process's memory that is set as the Go runtime's soft memory limit, near which
-	// the garbage collector works harder.
-	memoryLimitFraction = 0.6
 )
 
 // maxServers is the maximum number of HTTP servers of the process.
 const maxServers = 6
 
-// maxHeaderBytes is the maximum size of a request's header, in bytes. The routing table may set a smaller limit.
+// maxHeaderBytes is the maximum size of a request's header on all addresses, in bytes. The routing table may set a smaller limit
+// for callers' requests.
 const maxHeaderBytes = 64 << 10
 
 // tableWait is how long requests wait for the first routing table.
 const tableWait = 500 * time.Millisecond
 
-// aheadMemoryFraction is the fraction of the process's memory that answers may take that wait for an earlier one of their
-// connection; each has up to backendconn.MaxBuffered bytes.
-const aheadMemoryFraction = 0.25
-
-// unlimitedAhead bounds such requests where the settings state no memory.
-const unlimitedAhead = 256
-
-// maxAhead returns the max number of requests that are in progress behind another one of their connection.
-func maxAhead(memoryMegabyte float64) int {
-	if memoryMegabyte == 0 {
-		return unlimitedAhead
-	}
-	return max(1, int(memoryMegabyte*(1<<20)*aheadMemoryFraction/backendconn.MaxBuffered))
-}
-
 // program holds the components of the process.
 type program struct {
 	cfg         *settings.Front
@@ -95,6 +79,7 @@
 	relay       *peers.Relay
 	readers     *peers.Subscriber // receives changes from the readers, the instances that watch the store
 	callers     *callerconn.Server
+	memory      *membudget.Budget
 	listener    net.Listener // of callers
 }
 
@@ -134,9 +119,10 @@
 		Retry: retryLimit(cfg.Limits), MaxKeyAge: revocationBound(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
 		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
 	})
+	p.memory = membudget.New(budgetBytes(cfg.Limits.MemoryMegabyte), p.loop.Now)
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
-		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte),
+		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte), MaxConns: maxConns(descriptorLimit(cfg.Limits.MaxDescriptors)), Budget: p.memory,
 	})
 	var err error
 	p.peers, err = peers.New(peers.Options{
@@ -237,6 +223,11 @@
 	}
 }
 
+// newHTTPServer returns a server for an address other than the callers'.
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // listen opens the listeners and starts a server on each. A server that ends sends its error to failed.
 func (p *program) listen(failed chan<- error) error {
 	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
@@ -246,11 +237,11 @@
 		server  interface{ Serve(net.Listener) error }
 	}{
 		{p.cfg.Callers, p.callers},
-		{p.cfg.Ready, &http.Server{Handler: platform.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Directory, &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Peers, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Control, &http.Server{Handler: facts, ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Metrics, &http.Server{Handler: status.Handler(p.metrics, p.dump), ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Ready, newHTTPServer(platform.Ready(p.ready))},
+		{p.cfg.Directory, newHTTPServer(directory)},
+		{p.cfg.Peers, newHTTPServer(facts)},
+		{p.cfg.Control, newHTTPServer(facts)},
+		{p.cfg.Metrics, newHTTPServer(status.Handler(p.metrics, p.dump))},
 	} {
 		if !s.address.IsValid() {
 			continue // an optional address
