quota, catalog, peers, front: permits of owners keep customers under their quotas

Each instance knew only its own requests of a customer, so that nothing held the sum of all instances under the customer's quota. Requests over the quota are answered 429 with the time to return. Settings quota_window, quota_overage and quota_tolerance; without them, and for customers without a rate, nothing acts.

--- a/cmd/azb-front/reload.go
+++ b/cmd/azb-front/reload.go
@@ -51,7 +51,7 @@
 func (p *program) applyLimits(ctx context.Context, l settings.FrontLimits) {
 	p.limits.Store(&l)
 	p.front.ApplyRetryLimit(retryLimit(l))
-	p.loop.Send(ctx, catalog.Limits{Cold: coldLimit(l)})
+	p.loop.Send(ctx, catalog.Limits{Cold: coldLimit(l), Customers: customerBound(l)})
 }
 
 func retryLimit(l settings.FrontLimits) quota.RetryLimit {
@@ -61,3 +61,7 @@
 func coldLimit(l settings.FrontLimits) quota.ColdLimit {
 	return quota.ColdLimit{Factor: l.ColdFactor, Tolerance: l.ColdTolerance}
 }
+
+func customerBound(l settings.FrontLimits) quota.CustomerBound {
+	return quota.CustomerBound{Window: l.QuotaWindow, Overage: l.QuotaOverage, Tolerance: l.QuotaTolerance}
+}
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -23,6 +23,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/coordination/quota"
 	"azurebridge/internal/wait"
 	"azurebridge/platform"
 	"azurebridge/protocol/factwire"
@@ -120,7 +121,7 @@
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.logWriter,
 	})
 	p.limits.Store(&cfg.Limits)
-	core := catalog.NewCore(catalog.Options{Self: cfg.Name, Cold: coldLimit(cfg.Limits)})
+	core := catalog.NewCore(catalog.Options{Self: cfg.Name, Cold: coldLimit(cfg.Limits), Customers: customerBound(cfg.Limits)})
 	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.LogEntry) { p.log.Info(n.Message, n.Fields...) })
 	self := routing.Peer{
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
@@ -132,6 +133,9 @@
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: retryLimit(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
 		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
+		Admit: func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision {
+			return p.peers.Admit(ctx, customer, wait)
+		},
 	})
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
@@ -140,7 +144,7 @@
 	var err error
 	p.peers, err = peers.New(peers.Options{
 		Self: cfg.Name, Region: cfg.Region, Listen: cfg.Peers, Loop: p.loop, Log: p.log.Named("peers"),
-		OnRevision: p.follower.ReportRevision,
+		OnRevision: p.follower.ReportRevision, Away: p.contact.Age,
 	})
 	if err != nil {
 		return nil, err
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"os"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -12,6 +14,9 @@
 	"azurebridge/transport/status"
 )
 
+// dumpTimeout bounds the wait for the control goroutine.
+const dumpTimeout = time.Second
+
 // dump is the state of the process as operators see it.
 type dump struct {
 	Instance  string
@@ -23,6 +28,7 @@
 	Instances int // number of instances among which shared limits are divided
 	Peers     []routing.Peer
 	Servers   []dumpServer
+	Buckets   []quota.BucketState // of the customers that this instance is an owner of
 	Counters  map[string]int64
 }
 
@@ -45,6 +51,12 @@
 		Instance: string(p.cfg.Name), StoreLost: v.StoreLost, Stopping: v.Stopping, Instances: v.Instances, Peers: v.Peers,
 		Counters: observe.Values(p.metrics),
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	var err error
+	if d.Buckets, err = p.loop.Buckets(ctx); err != nil {
+		p.log.Warn("dump without buckets of customers", "error", err.Error())
+	}
 	if v.Table != nil {
 		d.Table, d.Routes = v.Table.Version, len(v.Table.Routes)
 	}
@@ -75,7 +87,7 @@
 func (p *program) registerMetrics() {
 	observe.Register(p.metrics, map[string]any{
 		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats,
-		"peers": &p.peers.Stats, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.logWriter.Dropped,
+		"peers": &p.peers.Stats, "permits": &p.peers.Permits, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.logWriter.Dropped,
 	})
 	gauge := func(name string, read func(v *catalog.View) int64) {
 		p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return read(p.loop.View()) }))
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -34,10 +34,11 @@
 	massExpiryMinShare = 0.25
 )
 
-// Options configure a core. A Limits event replaces Cold.
+// Options configure a core. A Limits event replaces Cold and Customers.
 type Options struct {
-	Self state.InstanceName
-	Cold quota.ColdLimit
+	Self      state.InstanceName
+	Cold      quota.ColdLimit
+	Customers quota.CustomerBound
 }
 
 // Core holds the control state. It belongs to the control goroutine.
@@ -52,6 +53,8 @@
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
 	peersChanged  uint64 // number of changes of peers
+	issuer        *quota.Issuer
+	issuerBasis   issuerBasis
 	counters      map[state.ServiceName]*Counters
 	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
@@ -90,6 +93,7 @@
 	return &Core{
 		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), retained: make(map[string]state.Instant), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), distances: make(map[state.RegionName]*Distance), dirty: true,
+		issuer: quota.NewIssuer(opts.Self),
 	}
 }
 
@@ -121,15 +125,27 @@
 	case Collect:
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
-		c.opts.Cold, c.dirty = ev.Cold, true
+		c.opts.Cold, c.opts.Customers, c.dirty = ev.Cold, ev.Customers, true
+	case AskPermits:
+		c.askPermits(now, ev)
+	case HeardApart:
+		c.issuer.Hear(now, ev.From)
+	case ContactChecked:
+		c.issuer.Tick(now, ev.Away)
+	case CollectBuckets:
+		ev.Reply <- c.issuer.Buckets(now)
 	case Stopping:
 		c.stopping, c.dirty = true, true
 	}
 	c.expire(now)
+	c.updateIssuer(now)
 }
 
 // Tick removes missing servers whose grace period has ended, and updates the instance count.
-func (c *Core) Tick(now state.Instant) { c.expire(now) }
+func (c *Core) Tick(now state.Instant) {
+	c.expire(now)
+	c.updateIssuer(now)
+}
 
 // NextTick returns when Tick is due, and false when no deadline is pending. Nothing is removed while the store is unavailable, so
 // that no removal is due then.
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -4,6 +4,8 @@
 package catalog
 
 import (
+	"time"
+
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 )
@@ -92,9 +94,27 @@
 
 // Limits replaces the limits in force.
 type Limits struct {
-	Cold quota.ColdLimit
+	Cold      quota.ColdLimit
+	Customers quota.CustomerBound
+}
+
+// AskPermits requests permits of a customer from this instance. Answer is called on the control goroutine and must not block.
+type AskPermits struct {
+	Ask    quota.Ask
+	Apart  bool          // whether the store does not answer the asking instance
+	Away   time.Duration // since the store last answered this instance
+	Answer func(quota.Granted)
 }
 
+// HeardApart reports a message of an instance that the store does not answer.
+type HeardApart struct{ From state.InstanceName }
+
+// ContactChecked states how long ago the store last answered this instance.
+type ContactChecked struct{ Away time.Duration }
+
+// CollectBuckets requests the state of the buckets of customers. Reply must be buffered, because the core must not block.
+type CollectBuckets struct{ Reply chan<- []quota.BucketState }
+
 // Stopping reports that the process has begun its planned stop.
 type Stopping struct{}
 
@@ -108,6 +128,10 @@
 func (Collect) event()        {}
 func (Limits) event()         {}
 func (Stopping) event()       {}
+func (AskPermits) event()     {}
+func (HeardApart) event()     {}
+func (ContactChecked) event() {}
+func (CollectBuckets) event() {}
 
 // Outcome is how an exchange with a backend server ended.
 type Outcome int
--- a/coordination/catalog/loop.go
+++ b/coordination/catalog/loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"azurebridge/coordination/quota"
 	"azurebridge/state"
 )
 
@@ -51,11 +52,28 @@
 
 // Observe enqueues an observation of a traffic goroutine or another instance (Observed, LimitNamed or LimitEnded) without
 // blocking. It drops and counts the observation when the queue is full.
-func (l *Loop) Observe(o Event) {
+func (l *Loop) Observe(o Event) { _ = l.Post(o) }
+
+// Post enqueues an event without blocking. It returns false when the queue is full.
+func (l *Loop) Post(ev Event) bool {
 	select {
-	case l.queue <- o:
+	case l.queue <- ev:
+		return true
 	default:
 		l.Dropped.Add(1)
+		return false
+	}
+}
+
+// Buckets returns the state of the buckets of the customers that this instance is an owner of, or an error when ctx ends first.
+func (l *Loop) Buckets(ctx context.Context) ([]quota.BucketState, error) {
+	reply := make(chan []quota.BucketState, 1)
+	l.Send(ctx, CollectBuckets{Reply: reply})
+	select {
+	case buckets := <-reply:
+		return buckets, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "collect buckets of customers")
 	}
 }
 
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -18,16 +18,16 @@
 	v := &View{
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.storeLost,
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
+		Customers: c.opts.Customers, PeersSeen: c.peersChanged,
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
 	}
 	names := make([]state.InstanceName, 0, len(c.peers))
 	for _, p := range c.peers {
-		v.Peers = append(v.Peers, *p)
 		names = append(names, p.Name)
 	}
-	slices.SortFunc(v.Peers, func(a, b routing.Peer) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	v.Peers = c.sortedPeers()
 	for _, m := range c.servers {
 		c.addServer(v, m, names)
 	}
@@ -38,6 +38,16 @@
 	return v
 }
 
+// sortedPeers returns the live instances, sorted by name.
+func (c *Core) sortedPeers() []routing.Peer {
+	var out []routing.Peer
+	for _, p := range c.peers {
+		out = append(out, *p)
+	}
+	slices.SortFunc(out, func(a, b routing.Peer) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return out
+}
+
 // regionsOf returns the regions of servers.
 func regionsOf(servers []*Server) []Region {
 	var out []Region
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -20,6 +20,8 @@
 	Stopping  bool
 	Revision  Revision // store revision that the view reflects
 	FleetKey  []byte   // signs messages between instances; nil until one is known
+	Customers quota.CustomerBound
+	PeersSeen uint64 // number of changes of Peers
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -35,6 +35,16 @@
 	Region      state.RegionName
 	Revision    catalog.Revision
 	EndedLimits []catalog.LimitEnded
+	// Permits is set in messages about permits of customers; Revision and EndedLimits are then empty.
+	Permits *PermitMessage
+}
+
+// PermitMessage is a request for permits, an answer to one, or, without both, a sign of life of an instance that the store does not
+// answer.
+type PermitMessage struct {
+	Apart   bool // whether the store does not answer the sender
+	Ask     *quota.Ask
+	Granted *quota.Granted
 }
 
 // limitAnnouncers is the number of instances that announce the end of a server's limit to all others: more than one, since a message
--- /dev/null
+++ b/coordination/quota/issuer.go
@@ -0,0 +1,276 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// MaxBatch bounds the permits of one request for permits.
+const MaxBatch = 64
+
+// Times of an issuer.
+const (
+	// takeOverDelay is how long an instance that becomes an owner, or whose share grows, issues nothing more: until then an
+	// earlier owner may not know the change. Instances in contact know each change within that time.
+	takeOverDelay = 3 * time.Second
+	// apartAfter is the time without an answer of the store after which an instance may soon be missing from the lists of the
+	// others. It is shorter than the lease of an instance's entry.
+	apartAfter = 3 * time.Second
+	// heardFor is how long a message of an instance without the store counts. It covers more than two rounds of such messages.
+	heardFor = 6 * time.Second
+	// leftRetention is how long instances that have left the list count as apart, and still using their part of each quota.
+	leftRetention = 5 * time.Minute
+	// apartLimit is the time without the store after which an owner issues nothing. It ends before leftRetention.
+	apartLimit = 280 * time.Second
+	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
+	recentSlots = 7
+)
+
+// Ask is a request for permits.
+type Ask struct {
+	ID       uint64 // chosen at random by the asking instance
+	From     state.InstanceName
+	Customer state.CustomerName
+	Count    int
+}
+
+// Granted is the answer to an Ask. With a Count of 0, RetryAfter is when the owner is likely to have a permit again.
+type Granted struct {
+	ID         uint64
+	Count      int
+	NotOwner   bool // the instance is no owner of the customer
+	RetryAfter time.Duration
+}
+
+// Issuer issues permits for the customers that an instance is an owner of. Each owner has an equal share of what may be issued.
+//
+// When the list of instances shrinks, those that are missing may have failed, or may be cut off and still issue permits to each
+// other. An owner therefore issues only the fraction of its share that its side of a possible partition has of all instances: the
+// listed ones while the store answers, or those without the store that it hears from. The fractions of all sides sum up to at most 1.
+//
+// It belongs to the control goroutine.
+type Issuer struct {
+	self     state.InstanceName
+	bound    CustomerBound
+	peers    []routing.Peer
+	peak     int // highest number of instances within leftRetention
+	peakAt   state.Instant
+	buckets  map[state.CustomerName]*bucket
+	heard    map[state.InstanceName]state.Instant
+	slot     int64 // number of the newest slot
+	recent   [recentSlots]float64
+	fraction float64 // in force
+	// Broken variants for tests.
+	fullStart bool // new buckets hold the whole share of a window
+	wholeSide bool // partitions are ignored
+}
+
+// bucket is a token bucket for one customer.
+type bucket struct {
+	quota    routing.Quota
+	share    float64 // of all that owners issue
+	raised   float64 // takes the place of share at raiseAt, when that is not 0
+	raiseAt  state.Instant
+	level    float64 // permits at the time at
+	at       state.Instant
+	granted  uint64
+	refusals uint64
+}
+
+// NewIssuer returns an issuer that is an owner of no customer.
+func NewIssuer(self state.InstanceName) *Issuer {
+	i := &Issuer{self: self, buckets: make(map[state.CustomerName]*bucket), heard: make(map[state.InstanceName]state.Instant), fraction: 1}
+	for s := range i.recent {
+		i.recent[s] = 1
+	}
+	return i
+}
+
+// Update applies a list of instances and the customers of a routing table. Buckets of customers that the instance is no owner of any
+// more are dropped; new ones are empty.
+func (i *Issuer) Update(now state.Instant, bound CustomerBound, peers []routing.Peer, customers []routing.Customer) {
+	i.settleAll(now)
+	i.bound, i.peers = bound, peers
+	if n := len(peers); n >= i.peak || now.Sub(i.peakAt) >= leftRetention {
+		i.peak, i.peakAt = n, now
+	}
+	kept := make(map[state.CustomerName]*bucket, len(i.buckets))
+	for n := range customers {
+		c := &customers[n]
+		if !bound.Binds(c.Quota) {
+			continue
+		}
+		owners := bound.Owners(c, peers)
+		if !slices.ContainsFunc(owners, func(p routing.Peer) bool { return p.Name == i.self }) {
+			continue
+		}
+		b := i.buckets[c.Name]
+		share := 1 / float64(len(owners))
+		if b == nil {
+			b = &bucket{share: share, at: now.Add(takeOverDelay)}
+			if i.fullStart {
+				b.at, b.quota = now, c.Quota
+				b.level = bound.issued(c.Quota) * share
+			}
+		}
+		b.quota = c.Quota
+		b.setShare(now, share)
+		kept[c.Name] = b
+	}
+	i.buckets = kept
+	i.settleAll(now)
+}
+
+// setShare applies a lower share at once and a higher one after takeOverDelay.
+func (b *bucket) setShare(now state.Instant, share float64) {
+	switch {
+	case share <= b.share:
+		b.share, b.raiseAt = share, 0
+	case b.raiseAt == 0 || share != b.raised:
+		b.raised, b.raiseAt = share, now.Add(takeOverDelay)
+	}
+}
+
+// Hear records a message of an instance that the store does not answer.
+func (i *Issuer) Hear(now state.Instant, from state.InstanceName) { i.heard[from] = now }
+
+// Tick takes into account how long ago the store last answered. It is due at least each half second.
+func (i *Issuer) Tick(now state.Instant, away time.Duration) {
+	fraction := i.sideFraction(now, away)
+	const slotLength = takeOverDelay / (recentSlots - 1)
+	number := int64(now) / int64(slotLength)
+	for ; i.slot < number; i.slot++ {
+		if number-i.slot > recentSlots {
+			i.slot = number - recentSlots
+		}
+		i.recent[(i.slot+1)%recentSlots] = fraction
+	}
+	newest := &i.recent[number%recentSlots]
+	*newest = min(*newest, fraction)
+	if lowest := slices.Min(i.recent[:]); lowest != i.fraction {
+		i.settleAll(now)
+		i.fraction = lowest
+		i.settleAll(now)
+	}
+}
+
+// sideFraction returns the part of all instances that this one's side of a possible partition has at least.
+func (i *Issuer) sideFraction(now state.Instant, away time.Duration) float64 {
+	if len(i.peers) == 0 {
+		return 0
+	}
+	if i.wholeSide {
+		return 1
+	}
+	if away <= apartAfter {
+		return float64(len(i.peers)) / float64(max(i.peak, len(i.peers)))
+	}
+	if away > apartLimit {
+		return 0
+	}
+	side := 1 // this instance
+	for name, at := range i.heard {
+		if now.Sub(at) > heardFor {
+			delete(i.heard, name)
+			continue
+		}
+		if name != i.self && i.listed(name) {
+			side++
+		}
+	}
+	return float64(side) / float64(max(i.peak, len(i.peers)))
+}
+
+// listed reports whether an instance is in the list, which is sorted by name.
+func (i *Issuer) listed(name state.InstanceName) bool {
+	_, found := slices.BinarySearchFunc(i.peers, name, func(p routing.Peer, name state.InstanceName) int {
+		return strings.Compare(string(p.Name), string(name))
+	})
+	return found
+}
+
+// refill returns the permits/s and the max level of a bucket. In any span of the bound they allow no more than the owner's share.
+func (i *Issuer) refill(b *bucket) (rate, stored float64) {
+	share := i.bound.issued(b.quota) * b.share * i.fraction
+	if !i.bound.Binds(b.quota) || share < 1 {
+		return 0, 0
+	}
+	stored = max(1, storedPart*share, min(minStored, share/2))
+	return (share - stored) / i.bound.span().Seconds(), stored
+}
+
+// settle brings the level of a bucket up to date.
+func (i *Issuer) settle(now state.Instant, b *bucket) {
+	if b.raiseAt != 0 && !now.Before(b.raiseAt) {
+		b.share, b.raiseAt = b.raised, 0
+	}
+	rate, stored := i.refill(b)
+	if b.at.Before(now) {
+		b.level += rate * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	if !i.fullStart {
+		b.level = min(b.level, stored)
+	}
+}
+
+func (i *Issuer) settleAll(now state.Instant) {
+	for _, b := range i.buckets {
+		i.settle(now, b)
+	}
+}
+
+// Grant answers a request for permits. away is how long ago the store last answered.
+func (i *Issuer) Grant(now state.Instant, away time.Duration, ask Ask) Granted {
+	i.Tick(now, away)
+	b := i.buckets[ask.Customer]
+	if b == nil {
+		return Granted{ID: ask.ID, NotOwner: true}
+	}
+	i.settle(now, b)
+	count := min(ask.Count, MaxBatch, int(b.level))
+	if count <= 0 {
+		b.refusals++
+		return Granted{ID: ask.ID, RetryAfter: i.refillTime(now, b)}
+	}
+	b.level -= float64(count)
+	b.granted += uint64(count)
+	return Granted{ID: ask.ID, Count: count}
+}
+
+// refillTime returns the time until a bucket has a permit.
+func (i *Issuer) refillTime(now state.Instant, b *bucket) time.Duration {
+	rate, _ := i.refill(b)
+	if rate <= 0 {
+		return i.bound.Window
+	}
+	return max(0, b.at.Sub(now)) + seconds((1-b.level)/rate)
+}
+
+// BucketState describes a bucket for operators.
+type BucketState struct {
+	Customer state.CustomerName
+	Level    float64 // permits that could be issued now
+	Stored   float64 // max level
+	PerS     float64 // permits/s
+	Granted  uint64
+	Refused  uint64  // requests for permits
+	Share    float64 // of all that the customer's owners issue
+	Fraction float64 // of the share that is in force
+}
+
+// Buckets returns the buckets, sorted by customer.
+func (i *Issuer) Buckets(now state.Instant) []BucketState {
+	i.settleAll(now)
+	out := make([]BucketState, 0, len(i.buckets))
+	for name, b := range i.buckets {
+		rate, stored := i.refill(b)
+		out = append(out, BucketState{name, b.level, stored, rate, b.granted, b.refusals, b.share, i.fraction})
+	}
+	slices.SortFunc(out, func(a, b BucketState) int { return strings.Compare(string(a.Customer), string(b.Customer)) })
+	return out
+}
--- /dev/null
+++ b/coordination/quota/permit_test.go
@@ -0,0 +1,291 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"azurebridge/state"
+	"azurebridge/state/routing"
+)
+
+// simCustomers returns a large and a small customer.
+func simCustomers() []routing.Customer {
+	return []routing.Customer{
+		{Name: "large", Quota: routing.Quota{Rate: 120, Burst: 60}},
+		{Name: "small", Quota: routing.Quota{Rate: 2, Burst: 2}},
+		{Name: "free"},
+	}
+}
+
+// disturb changes one thing at random.
+func (s *permitSim) disturb() {
+	i := s.instances[s.random.IntN(len(s.instances))]
+	switch s.random.IntN(12) {
+	case 0: // an owner or another instance ends, and returns later
+		s.kill(i)
+		s.after(s.upTo(8*time.Second), func() { s.restart(i) })
+	case 1:
+		s.kill(i)
+		s.restart(i)
+	case 2: // power loss of all
+		for _, i := range s.instances {
+			s.kill(i)
+			s.after(s.upTo(2*time.Second), func() { s.restart(i) })
+		}
+	case 3: // an instance reaches nobody
+		i.side = 1 + s.random.IntN(1000)
+		s.after(s.upTo(15*time.Second), func() { i.side = 0 })
+	case 4: // partition
+		for _, i := range s.instances {
+			if s.random.IntN(3) == 0 {
+				i.side = -1
+			}
+		}
+		s.after(s.upTo(15*time.Second), func() {
+			for _, i := range s.instances {
+				i.side = 0
+			}
+		})
+	case 5: // a region is cut off
+		for _, o := range s.instances {
+			if o.peer.Region == i.peer.Region {
+				o.side = -2
+			}
+		}
+		s.after(s.upTo(15*time.Second), func() {
+			for _, i := range s.instances {
+				i.side = 0
+			}
+		})
+	case 6:
+		i.noStore = true
+		s.after(s.upTo(15*time.Second), func() { i.noStore = false })
+	case 7:
+		s.storeAway = true
+		s.after(s.upTo(12*time.Second), func() { s.storeAway = false })
+	case 8:
+		s.loss = 0.3 * s.random.Float64()
+		s.after(s.upTo(8*time.Second), func() { s.loss = 0 })
+	case 9:
+		s.slow = true
+		s.after(s.upTo(8*time.Second), func() { s.slow = false })
+	case 10: // demand moves
+		for _, i := range s.instances {
+			i.weight = 0.05 + s.random.ExpFloat64()
+		}
+	case 11: // a quota changes
+		c := s.random.IntN(2)
+		old := s.customers[c].Quota
+		s.customers = append([]routing.Customer(nil), s.customers...)
+		s.customers[c].Quota.Rate = simCustomers()[c].Quota.Rate * (0.3 + 0.7*s.random.Float64())
+		if s.customers[c].Quota != old {
+			s.version++
+			s.state[c].quotas = append(s.state[c].quotas, datedQuota{s.version, 0, s.customers[c].Quota})
+		}
+	}
+}
+
+func (s *permitSim) restart(i *simInstance) {
+	if i.process == 0 {
+		s.start(i)
+	}
+}
+
+// startAll starts all instances and lets them run until the buckets are in use.
+func (s *permitSim) startAll() {
+	for _, i := range s.instances {
+		s.start(i)
+	}
+	s.run(10 * time.Second)
+	s.messages = 0
+}
+
+// Guards against customers that get more requests to backend servers than their quota allows in some window, while instances end
+// and restart, are cut off from each other or the store, datagrams are lost and late, demand moves and quotas change. Customers
+// send up to 7 times their usual demand.
+func TestCustomersStayUnderTheirQuotas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newPermitSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 40).Draw(t, "instances"), rapid.IntRange(1, 4).Draw(t, "regions"), simCustomers())
+		faults := rapid.Float64Range(0.2, 4).Draw(t, "seconds between faults")
+		s.startAll()
+		factor := rapid.SampledFrom([]float64{1, 2, 7}).Draw(t, "factor")
+		for _, m := range s.state {
+			m.demand *= factor
+		}
+		for _, c := range []int{0, 1} {
+			s.load(c, s.now.Add(50*time.Second))
+		}
+		for range int(50 / faults) {
+			if broken := s.run(time.Duration(faults * float64(time.Second))); broken != "" {
+				t.Fatal(broken)
+			}
+			s.disturb()
+		}
+	})
+}
+
+// Guards against a check that finds nothing: each broken variant exceeds a quota in its scenario, and the true one does not.
+func TestTheCheckFindsExceededQuotas(t *testing.T) {
+	const seeds = 4
+	for _, c := range []struct {
+		name      string
+		instances int
+		breakSim  func(*permitSim)
+		scenario  func(*permitSim) string
+	}{
+		{"owners that start with a full share", 18, func(s *permitSim) { s.fullStart = true }, restartingOwners},
+		{"permits that never end", 150, func(s *permitSim) { s.keepForever = true }, wanderingDemand},
+		{"owners that ignore partitions", 18, func(s *permitSim) { s.wholeSide = true }, partitions},
+	} {
+		found := 0
+		for seed := range uint64(seeds) {
+			s := newPermitSim(seed, c.instances, 3, simCustomers())
+			if broken := c.scenario(s); broken != "" {
+				t.Errorf("without a fault, in the scenario of %s, seed %d: %s", c.name, seed, broken)
+			}
+			s = newPermitSim(seed, c.instances, 3, simCustomers())
+			c.breakSim(s)
+			if c.scenario(s) != "" {
+				found++
+			}
+		}
+		t.Logf("%s: found with %d of %d seeds", c.name, found, seeds)
+		if found < seeds/2 {
+			t.Errorf("%s: found with %d of %d seeds", c.name, found, seeds)
+		}
+	}
+}
+
+// restartingOwners lets owners of the large customer, which sends 7 times its usual demand, end and start again.
+func restartingOwners(s *permitSim) string {
+	s.startAll()
+	s.state[0].demand *= 7
+	s.load(0, s.now.Add(30*time.Second))
+	for range 25 {
+		if broken := s.run(time.Second); broken != "" {
+			return broken
+		}
+		owners := s.bound.Owners(&s.customers[0], s.list())
+		for _, i := range s.instances {
+			if len(owners) > 0 && i.peer.Name == owners[s.random.IntN(len(owners))].Name {
+				s.kill(i)
+				s.restart(i)
+			}
+		}
+	}
+	return s.broken
+}
+
+// wanderingDemand moves all requests of the large customer from instance to instance, and then spreads them over all.
+func wanderingDemand(s *permitSim) string {
+	s.startAll()
+	s.state[0].demand *= 1.3
+	s.load(0, s.now.Add(time.Duration(len(s.instances))*time.Second))
+	for at := range s.instances {
+		for n, i := range s.instances {
+			i.weight = 0
+			if n == at {
+				i.weight = 1
+			}
+		}
+		if broken := s.run(time.Second); broken != "" {
+			return broken
+		}
+	}
+	for _, i := range s.instances {
+		i.weight = 1
+	}
+	s.state[0].demand *= 9
+	s.load(0, s.now.Add(5*time.Second))
+	return s.run(6 * time.Second)
+}
+
+// partitions divides the instances at random, again and again, while the large customer sends 7 times its usual demand.
+func partitions(s *permitSim) string {
+	s.startAll()
+	s.state[0].demand *= 7
+	s.load(0, s.now.Add(100*time.Second))
+	for range 4 {
+		for _, i := range s.instances {
+			i.side = -s.random.IntN(2)
+		}
+		if broken := s.run(16 * time.Second); broken != "" {
+			return broken
+		}
+		for _, i := range s.instances {
+			i.side = 0
+		}
+		if broken := s.run(8 * time.Second); broken != "" {
+			return broken
+		}
+	}
+	return s.broken
+}
+
+// Guards against refusals of customers that stay below their quotas, while callers move between instances.
+func TestUsualDemandIsServed(t *testing.T) {
+	for _, instances := range []int{2, 12, 40, 127} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			s := newPermitSim(uint64(instances), instances, 3, simCustomers())
+			s.startAll()
+			for _, c := range []int{0, 1} {
+				s.load(c, s.now.Add(30*time.Second))
+			}
+			for range 10 {
+				s.run(3 * time.Second)
+				for _, i := range s.instances {
+					i.weight = 0.05 + s.random.ExpFloat64()*s.random.ExpFloat64()
+				}
+			}
+			for c, m := range s.state[:2] {
+				t.Logf("%s: %d of %d requests refused, %d messages, %d permits expired", s.customers[c].Name, m.refused, m.asked, s.messages, s.expired.Load())
+				if float64(m.refused) > 0.01*float64(m.asked) {
+					t.Errorf("%s: %d of %d requests refused", s.customers[c].Name, m.refused, m.asked)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests of customers without a quota, or without a window, that are refused or cost messages.
+func TestNothingBindsWithoutAQuota(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(CustomerBound{Window: time.Second}.Binds(routing.Quota{Burst: 3})).To(BeFalse())
+	g.Expect(CustomerBound{Overage: 1, Tolerance: 20}.Binds(routing.Quota{Rate: 3})).To(BeFalse())
+	g.Expect(CustomerBound{Window: time.Second}.Binds(routing.Quota{Rate: 3})).To(BeTrue())
+}
+
+// Guards against owners that depend on the order of the list, and against a change of owners that do not leave.
+func TestOwnersFollowFromTheList(t *testing.T) {
+	g := NewWithT(t)
+	b := CustomerBound{Window: 5 * time.Second, Tolerance: 20}
+	c := &routing.Customer{Name: "large", Quota: routing.Quota{Rate: 50}}
+	var peers []routing.Peer
+	for n := range 30 {
+		peers = append(peers, routing.Peer{
+			Name: state.InstanceName(fmt.Sprint("front-", n)), Region: state.RegionName(fmt.Sprint("region-", n%3)), PeerAddress: "x",
+		})
+	}
+	owners := b.Owners(c, peers)
+	g.Expect(owners).To(HaveLen(maxOwners))
+	regions := map[state.RegionName]bool{}
+	for _, o := range owners {
+		regions[o.Region] = true
+	}
+	g.Expect(regions).To(HaveLen(3), "evenly from all regions")
+	var reversed, without []routing.Peer
+	for n := range peers {
+		reversed = append(reversed, peers[len(peers)-1-n])
+		if peers[n].Name != owners[1].Name {
+			without = append(without, peers[n])
+		}
+	}
+	g.Expect(b.Owners(c, reversed)).To(Equal(owners))
+	after := b.Owners(c, without)
+	g.Expect(after).To(ContainElements(owners[0], owners[2], owners[3], owners[5]))
+	g.Expect(after).NotTo(ContainElement(owners[1]))
+}
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -41,11 +41,7 @@
 	if len(key) == 0 {
 		return nil, errors.New("encode message: no fleet key")
 	}
-	f := frame{From: string(m.From), Region: string(m.Region), Number: m.Revision.Number, Era: m.Revision.Era}
-	for _, e := range m.EndedLimits {
-		f.Ended = append(f.Ended, endedFrame{Server: string(e.Server), Born: e.Born})
-	}
-	data, err := cbor.Marshal(f)
+	data, err := marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
@@ -55,6 +51,17 @@
 	return Sign(key, data), nil
 }
 
+func marshal(m *gossip.Message) ([]byte, error) {
+	if m.Permits != nil {
+		return cbor.Marshal(newPermitFrame(m))
+	}
+	f := frame{From: string(m.From), Region: string(m.Region), Number: m.Revision.Number, Era: m.Revision.Era}
+	for _, e := range m.EndedLimits {
+		f.Ended = append(f.Ended, endedFrame{Server: string(e.Server), Born: e.Born})
+	}
+	return cbor.Marshal(f)
+}
+
 // Sign appends the signature, a truncated HMAC-SHA256 with the fleet key, to data.
 func Sign(key, data []byte) []byte { return append(data, computeMAC(key, data)...) }
 
@@ -79,6 +86,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decode message")
 	}
+	if data[0] == permitFrameHead {
+		return decodePermits(data)
+	}
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode message")
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -26,7 +26,7 @@
 	LogLevel  string
 }
 
-// FrontLimits holds limits and times. The retry and cold limits hold for all instances of a deployment together, the others for
+// FrontLimits holds limits and times. The retry and cold limits and the quotas hold for all instances of a deployment together, the others for
 // each instance.
 type FrontLimits struct {
 	StopGrace      time.Duration // max time from the stop signal to the end of the process
@@ -34,10 +34,13 @@
 	RetryRatio     float64       // retries per request for a service, in one window
 	RetryExtra     float64       // retries in one window, in addition to RetryRatio
 	RetryWindow    time.Duration
-	ColdFactor     float64 // multiple of the service's ColdRate that a cold backend server may get
-	ColdTolerance  float64 // requests/s in addition to ColdFactor
-	MemoryMegabyte float64 // memory of the process in MiB; 0 sets no limit
-	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
+	ColdFactor     float64       // multiple of the service's ColdRate that a cold backend server may get
+	ColdTolerance  float64       // requests/s in addition to ColdFactor
+	MemoryMegabyte float64       // memory of the process in MiB; 0 sets no limit
+	LinkMbps       float64       // bandwidth of the instance's link in Mbit/s; 0 if not known
+	QuotaWindow    time.Duration // span of time for which quotas of customers hold; 0 for no quotas
+	QuotaOverage   float64       // part of a quota by which it may be exceeded
+	QuotaTolerance float64       // requests in one window, in addition to QuotaOverage
 }
 
 // Defaults and bounds of FrontLimits.
@@ -95,6 +98,9 @@
 		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxCount),
 		MemoryMegabyte: s.Number("memory_mb", 0, 0, maxMegabyte),
 		LinkMbps:       s.Number("link_mbps", 0, 0, maxMbps),
+		QuotaWindow:    s.Duration("quota_window", 0, 0, maxDuration),
+		QuotaOverage:   s.Number("quota_overage", 0, 0, maxShare),
+		QuotaTolerance: s.Number("quota_tolerance", 0, 0, maxCount),
 	}
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -32,6 +32,9 @@
 retry_window = 10s
 cold_factor = 1.5
 cold_tolerance = 5
+quota_window = 5s
+quota_overage = 0.1
+quota_tolerance = 20
 [domain north-a]
 region = north
 `
@@ -46,6 +49,7 @@
 	g.Expect(cfg.Limits).To(Equal(FrontLimits{
 		StopGrace: 6 * time.Second, LookupTTL: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 124, RetryWindow: 10 * time.Second,
 		ColdFactor: 1.5, ColdTolerance: 5, MemoryMegabyte: 206, LinkMbps: 700,
+		QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaTolerance: 20,
 	}))
 	g.Expect(cfg.Store.String()).To(Equal("10.0.0.2:1"))
 	g.Expect(cfg.Regions).To(HaveLen(1))
@@ -105,6 +109,14 @@
 		{"cold_tolerance = 2000000", func(l *FrontLimits) any { return l.ColdTolerance }, 2e6},
 		{"memory_mb = 136.5", func(l *FrontLimits) any { return l.MemoryMegabyte }, 136.5},
 		{"memory_mb = 0", func(l *FrontLimits) any { return l.MemoryMegabyte }, 0.0},
+		{"quota_window = 5.0s", func(l *FrontLimits) any { return l.QuotaWindow }, 5 * time.Second},
+		{"quota_window = 2.5s", func(l *FrontLimits) any { return l.QuotaWindow }, 2500 * time.Millisecond},
+		{"quota_window = 0s", func(l *FrontLimits) any { return l.QuotaWindow }, time.Duration(0)},
+		{"", func(l *FrontLimits) any { return l.QuotaWindow }, time.Duration(0)},
+		{"quota_overage = 0.125", func(l *FrontLimits) any { return l.QuotaOverage }, 0.125},
+		{"quota_overage = 0", func(l *FrontLimits) any { return l.QuotaOverage }, 0.0},
+		{"quota_tolerance = 20.5", func(l *FrontLimits) any { return l.QuotaTolerance }, 20.5},
+		{"quota_tolerance = 0.0", func(l *FrontLimits) any { return l.QuotaTolerance }, 0.0},
 		{"link_mbps = 19.999999999999996", func(l *FrontLimits) any { return l.LinkMbps }, 19.999999999999996},
 		{"link_mbps = 4000000", func(l *FrontLimits) any { return l.LinkMbps }, 4e6},
 	} {
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -49,7 +49,7 @@
 			if q.finishIfDone(ctx) {
 				return
 			}
-			if !q.canRetry() {
+			if !q.canRetry() || !q.admitAgain() {
 				break
 			}
 			continue
@@ -68,7 +68,7 @@
 		if answer.forwardable() {
 			failure = answer.Answer
 		}
-		if !q.canRetry() {
+		if !q.canRetry() || !q.admitAgain() {
 			break
 		}
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
+	"azurebridge/state/routing"
 	"azurebridge/transport/backendconn"
 )
 
@@ -46,6 +48,8 @@
 	Metrics metrics.Registry
 	// OnLimitEnd is called when a backend server names no limit any more. It must not block.
 	OnLimitEnd func(catalog.LimitEnded)
+	// Admit decides whether a request of a customer is within its quota, and waits at most the given time. Nil admits all.
+	Admit func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision
 	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
 	// that is refused meanwhile returns much later.
 	TableWait time.Duration
@@ -69,6 +73,8 @@
 	Served    atomic.Uint64
 	Passed    atomic.Uint64 // answers of backend servers with a 5xx status that were forwarded to the caller
 	Refused   atomic.Uint64 // answered 503: the request has not run
+	OverQuota atomic.Uint64 // answered 429: the request has not run, its customer exceeds its quota
+	NoPermit  atomic.Uint64 // further tries not made because the customer exceeds its quota
 	Failed    atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
 	TimedOut  atomic.Uint64 // answered 504
 	NoRoute   atomic.Uint64 // answered 404
@@ -115,6 +121,9 @@
 		return
 	}
 	q.service = q.route.Part(rand.Float64())
+	if !q.admitQuota() {
+		return
+	}
 	q.forward()
 }
 
--- /dev/null
+++ b/transport/front/quota_test.go
@@ -0,0 +1,99 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"azurebridge/coordination/quota"
+	"azurebridge/state/routing"
+)
+
+// serveAs serves a request of a customer.
+func (s *fixture) serveAs(customer *routing.Customer) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "http://x.example/a", nil)
+	r.RequestURI = "/a"
+	q := &request{m: s.manager, w: w, r: r, view: s.loop.View(), arrived: s.loop.Now(), caller: Caller{RequestID: "r-1"}, customer: customer}
+	s.Expect(q.match()).To(BeTrue())
+	q.service = "svc"
+	if q.admitQuota() {
+		q.forward()
+	}
+	return w
+}
+
+func dialDirectly(_ *fixture, ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Guards against a request over its customer's quota that reaches a server, a refusal without the time to return, and a quota for
+// requests that belong to no customer.
+func TestRequestOverTheQuotaIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		customer *routing.Customer
+		admitted bool
+		want     int
+	}{
+		{&routing.Customer{Name: "large"}, false, http.StatusTooManyRequests},
+		{&routing.Customer{Name: "large"}, true, http.StatusOK},
+		{nil, false, http.StatusOK},
+	} {
+		s := newFixture(t, 1, dialDirectly)
+		s.manager.opts.Admit = func(_ context.Context, _ *routing.Customer, wait time.Duration) quota.Decision {
+			s.Expect(wait).To(BeNumerically("<=", maxQuotaWait))
+			return quota.Decision{Admitted: c.admitted, RetryAfter: 1500 * time.Millisecond}
+		}
+		w := s.serveAs(c.customer)
+		s.Expect(w.Code).To(Equal(c.want))
+		if c.want == http.StatusOK {
+			s.Expect(s.requests()).To(HaveLen(1))
+			continue
+		}
+		s.Expect(w.Header().Get("Retry-After")).To(Equal("1.50"))
+		s.Expect(s.requests()).To(BeEmpty())
+		s.Expect(s.manager.Stats.OverQuota.Load()).To(Equal(uint64(1)))
+	}
+}
+
+// Guards against requests that the instance sends again beyond a quota: each further try that may count needs a permit of its own.
+func TestRepeatedRequestNeedsAFurtherPermit(t *testing.T) {
+	for _, permits := range []int{1, 2} {
+		dials := 0
+		s := newStartingFixture(t, 2, func(s *fixture, ctx context.Context, network, address string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				return dialDirectly(s, ctx, network, address)
+			}
+			near, far := net.Pipe()
+			go func() {
+				_, _ = far.Read(make([]byte, 1024)) // the request may have run
+				far.Close()
+			}()
+			return near, nil
+		})
+		s.items[len(s.items)-1].Fact.(*routing.Table).Routes[0].Idempotent = true
+		s.list()
+		s.Eventually(func() *routing.Table { return s.loop.View().Table }, testTimeout).ShouldNot(BeNil())
+		s.manager.ApplyRetryLimit(quota.RetryLimit{Ratio: 10, Window: time.Second})
+		asked := 0
+		s.manager.opts.Admit = func(context.Context, *routing.Customer, time.Duration) quota.Decision {
+			asked++
+			return quota.Decision{Admitted: asked <= permits}
+		}
+		w := s.serveAs(&routing.Customer{Name: "large"})
+		s.Expect(asked).To(Equal(2))
+		if permits == 2 {
+			s.Expect(w.Code).To(Equal(http.StatusOK))
+			s.Expect(s.requests()).To(HaveLen(1))
+		} else {
+			s.Expect(w.Code).To(Equal(http.StatusBadGateway), "the request may have run")
+			s.Expect(s.requests()).To(BeEmpty())
+		}
+	}
+}
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -32,9 +32,11 @@
 	caller      Caller
 	route       *routing.Route // nil until matched
 	service     state.ServiceName
-	timeout     time.Duration // from arrival to the final answer
-	body        []byte        // whole, or its first maxBufferedBody bytes
-	rest        io.Reader     // the body after those bytes; nil when body is whole
+	customer    *routing.Customer // that sent the request; nil for none
+	admitted    state.Instant     // when it was last found to be within the customer's quota
+	timeout     time.Duration     // from arrival to the final answer
+	body        []byte            // whole, or its first maxBufferedBody bytes
+	rest        io.Reader         // the body after those bytes; nil when body is whole
 	tried       []state.BackendName
 	sent        int           // times that a backend server got or may have got the request
 	ran         bool          // the request has run or may have run
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -27,15 +28,19 @@
 	Listen     netip.AddrPort
 	Loop       *catalog.Loop
 	OnRevision func(revision catalog.Revision) // called with the revision up to which another instance knows the store
+	Away       func() time.Duration            // time since the store last answered; nil where permits are not used
 	Log        hclog.Logger
 }
 
-// Node sends and receives the datagrams that announce revisions of the store and ends of limits.
+// Node sends and receives the datagrams that announce revisions of the store and ends of limits, and those about permits of customers.
 type Node struct {
-	opts  Options
-	conn  *net.UDPConn
-	ended chan catalog.LimitEnded // to be announced
-	Stats Stats
+	opts    Options
+	conn    *net.UDPConn
+	ended   chan catalog.LimitEnded // to be announced
+	answers chan answerTo
+	holders holders
+	Stats   Stats
+	Permits PermitStats
 }
 
 // Stats counts datagrams.
@@ -53,28 +58,33 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for messages of other instances")
 	}
-	return &Node{opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds)}, nil
+	return &Node{
+		opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds), answers: make(chan answerTo, maxQueuedAnswers),
+		holders: newHolders(opts.Loop.Now()),
+	}, nil
 }
 
 // Run receives datagrams and announces ends of limits until ctx ends, and closes the socket.
 func (n *Node) Run(ctx context.Context) {
 	go n.announceEnds(ctx)
+	go n.sendAnswers(ctx)
+	go n.reportContact(ctx)
 	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
 	defer stop()
 	buffer := make([]byte, gossipwire.MaxSize)
 	for {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				n.opts.Log.Error("messages of other instances are no longer received", "error", err.Error())
 			}
 			return
 		}
-		n.receive(buffer[:size])
+		n.receive(buffer[:size], from)
 	}
 }
 
-func (n *Node) receive(datagram []byte) {
+func (n *Node) receive(datagram []byte, from netip.AddrPort) {
 	v := n.opts.Loop.View()
 	m, err := gossipwire.Decode(v.FleetKey, datagram)
 	if err != nil {
@@ -82,6 +92,10 @@
 		return
 	}
 	n.Stats.Received.Add(1)
+	if m.Permits != nil {
+		n.receivePermits(m, from)
+		return
+	}
 	n.opts.OnRevision(m.Revision)
 	for _, e := range m.EndedLimits {
 		n.opts.Loop.Observe(e)
@@ -99,22 +113,38 @@
 	if len(v.FleetKey) == 0 || len(peers) == 0 {
 		return
 	}
-	m.From, m.Region = n.opts.Self, n.opts.Region
-	data, err := gossipwire.Encode(v.FleetKey, m)
-	if err != nil {
-		n.Stats.SendFailed.Add(1)
-		n.opts.Log.Warn("message to other instances could not be encoded", "error", err.Error())
+	data := n.encode(v, m)
+	if data == nil {
 		return
 	}
 	for _, p := range peers {
 		to, err := netip.ParseAddrPort(p.PeerAddress)
-		if err == nil {
-			_, err = n.conn.WriteToUDPAddrPort(data, to)
-		}
 		if err != nil {
 			n.Stats.SendFailed.Add(1)
 			continue
 		}
-		n.Stats.Sent.Add(1)
+		n.write(data, to)
+	}
+}
+
+// encode returns the datagram of a message of this instance, or nil when it cannot be encoded.
+func (n *Node) encode(v *catalog.View, m *gossip.Message) []byte {
+	m.From, m.Region = n.opts.Self, n.opts.Region
+	data, err := gossipwire.Encode(v.FleetKey, m)
+	if err != nil {
+		n.Stats.SendFailed.Add(1)
+		n.opts.Log.Warn("message to other instances could not be encoded", "error", err.Error())
+		return nil
+	}
+	return data
+}
+
+// write sends a datagram and reports whether it was sent.
+func (n *Node) write(data []byte, to netip.AddrPort) bool {
+	if _, err := n.conn.WriteToUDPAddrPort(data, to); err != nil {
+		n.Stats.SendFailed.Add(1)
+		return false
 	}
+	n.Stats.Sent.Add(1)
+	return true
 }
