quota: partitions right after a start, fewer messages over the quota, permits are returned

The property test found 747 requests in a window that allows 746: after a power loss of all, an instance that was cut off at once took the few instances it had seen for all. An owner without the store now issues only after 10 s of contact. Refused instances asked each owner each 50 ms; they now get successive times at the pace of the refill, and owners are chosen by the bandwidth of their links, too. A request that no server has run gives its permit back.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -136,6 +136,7 @@
 		Admit: func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision {
 			return p.peers.Admit(ctx, customer, wait)
 		},
+		ReturnPermit: func(customer *routing.Customer, until state.Instant) { p.peers.Return(customer, until) },
 	})
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
--- a/coordination/quota/bound.go
+++ b/coordination/quota/bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -61,7 +62,8 @@
 }
 
 // Owners returns the owners of a customer among the live instances: those with the highest rendezvous scores, evenly from all
-// regions, so that each instance has one near.
+// regions, so that each instance has one near. Scores are weighted with the bandwidth of the instances' links, as larger instances
+// can answer more requests for permits.
 func (b CustomerBound) Owners(c *routing.Customer, peers []routing.Peer) []routing.Peer {
 	k := b.owners(c.Quota)
 	key := "quota " + string(c.Name)
@@ -75,7 +77,7 @@
 		if r < 0 {
 			r, regions = len(regions), append(regions, nil)
 		}
-		s := scoredPeer{state.RendezvousScore(key, string(p.Name)), p}
+		s := scoredPeer{float64(max(1, p.LinkMbps)) / -math.Log(state.RendezvousFraction(key, string(p.Name))), p}
 		if at, _ := slices.BinarySearchFunc(regions[r], s, compareScored); at < k {
 			regions[r] = slices.Insert(regions[r], at, s)[:min(k, len(regions[r])+1)]
 		}
@@ -94,7 +96,7 @@
 
 // scoredPeer is an instance with its rendezvous score for a customer.
 type scoredPeer struct {
-	score uint64
+	score float64
 	*routing.Peer
 }
 
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -17,10 +17,12 @@
 	demandTime = time.Second
 	// batchTime is the time whose expected requests are asked for at once. It is shorter than permitLife, so that few expire.
 	batchTime = 300 * time.Millisecond
-	// minRefusedTime is how long an owner that refused is not asked again, at least. A customer far over its quota would otherwise
-	// cause messages with each request.
+	// An owner that refused is not asked again for the time that it states, at least minRefusedTime: a customer far over its quota
+	// would otherwise cause messages with each request. It is at most maxRefusedTime, or more where there are so many instances that
+	// an owner would get more than about refusedAsks requests/s from them for one customer.
 	minRefusedTime = 50 * time.Millisecond
 	maxRefusedTime = 500 * time.Millisecond
+	refusedAsks    = 125
 	// An owner that has not answered is left out for silentTime, then for twice as long each time, up to maxSilentTime.
 	silentTime    = 300 * time.Millisecond
 	maxSilentTime = 2400 * time.Millisecond
@@ -131,20 +133,29 @@
 	return h.demand * math.Exp(-float64(now.Sub(h.demandAt))/float64(demandTime))
 }
 
-// Take uses a permit that is held, and reports whether there was one.
-func (h *Holder) Take(now state.Instant) bool {
+// Take uses a permit that is held and returns until when it holds. It returns false when there is none.
+func (h *Holder) Take(now state.Instant) (until state.Instant, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for len(h.held) > 0 {
 		first := &h.held[0]
 		if first.count > 0 && (now.Before(first.until) || h.keepForever) {
 			first.count--
-			return true
+			return first.until, true
 		}
 		h.expired.Add(uint64(first.count))
 		h.held = h.held[1:]
 	}
-	return false
+	return 0, false
+}
+
+// Return gives back a permit that holds until the given time and whose request reached no backend server.
+func (h *Holder) Return(now, until state.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Before(until) {
+		h.held = append(h.held, batch{1, until})
+	}
 }
 
 // Attempt is a request for permits to an owner.
@@ -181,8 +192,9 @@
 	return Attempt{}, false
 }
 
-// Answered applies the answer of an owner and reports whether the request has a permit. Further ones are held.
-func (h *Holder) Answered(now state.Instant, a Attempt, answer Granted) bool {
+// Answered applies the answer of an owner and returns until when the request's permit holds, or false when it has none. Further
+// permits are held.
+func (h *Holder) Answered(now state.Instant, a Attempt, answer Granted) (until state.Instant, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.endPrefetch(a)
@@ -198,18 +210,19 @@
 			o.silentUntil = now.Add(silentTime) // one of the two lists of instances is outdated
 		case answer.Count == 0:
 			o.retryAt = now.Add(answer.RetryAfter)
-			o.refusedUntil = now.Add(min(max(answer.RetryAfter, minRefusedTime), maxRefusedTime))
+			bound := min(MaxRefusal, max(maxRefusedTime, seconds(float64(len(h.basis.Peers))/refusedAsks)))
+			o.refusedUntil = now.Add(min(max(answer.RetryAfter, minRefusedTime), bound))
 		}
 	}
-	until := a.At.Add(permitLife)
+	until = a.At.Add(permitLife)
 	if answer.Count == 0 || !now.Before(until) && !h.keepForever {
 		h.expired.Add(uint64(answer.Count))
-		return false
+		return 0, false
 	}
 	if rest := min(answer.Count, a.Count) - 1; rest > 0 {
 		h.held = append(h.held, batch{rest, until})
 	}
-	return true
+	return until, true
 }
 
 // Silent records that an owner has not answered in time.
@@ -268,6 +281,7 @@
 type Decision struct {
 	Admitted   bool
 	RetryAfter time.Duration // when a refused caller may return
+	Until      state.Instant // when an owner's permit ends; 0 without one
 }
 
 // calmTime is the time without a refusal after which a customer no longer exceeds its quota.
--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -9,8 +9,11 @@
 	"azurebridge/state/routing"
 )
 
-// MaxBatch bounds the permits of one request for permits.
-const MaxBatch = 64
+// MaxBatch bounds the permits of one request for permits, MaxRefusal the time of a refusal.
+const (
+	MaxBatch   = 64
+	MaxRefusal = 5 * time.Second
+)
 
 // Times of an issuer.
 const (
@@ -26,6 +29,9 @@
 	leftRetention = 5 * time.Minute
 	// apartLimit is the time without the store after which an owner issues nothing. It ends before leftRetention.
 	apartLimit = 280 * time.Second
+	// settleTime is how long the store must have answered a process before the process relies on the number of instances that it has
+	// seen. One that is cut off earlier, after a power loss of all, may have seen only some of them.
+	settleTime = 10 * time.Second
 	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
 	recentSlots = 7
 )
@@ -54,16 +60,17 @@
 //
 // It belongs to the control goroutine.
 type Issuer struct {
-	self     state.InstanceName
-	bound    CustomerBound
-	peers    []routing.Peer
-	peak     int // highest number of instances within leftRetention
-	peakAt   state.Instant
-	buckets  map[state.CustomerName]*bucket
-	heard    map[state.InstanceName]state.Instant
-	slot     int64 // number of the newest slot
-	recent   [recentSlots]float64
-	fraction float64 // in force
+	self      state.InstanceName
+	bound     CustomerBound
+	peers     []routing.Peer
+	peak      int // highest number of instances within leftRetention
+	peakAt    state.Instant
+	contactAt state.Instant // first answer of the store; 0 before
+	buckets   map[state.CustomerName]*bucket
+	heard     map[state.InstanceName]state.Instant
+	slot      int64 // number of the newest slot
+	recent    [recentSlots]float64
+	fraction  float64 // in force
 	// Broken variants for tests.
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
@@ -79,6 +86,7 @@
 	at       state.Instant
 	granted  uint64
 	refusals uint64
+	queueEnd state.Instant // when the refused instances have asked again
 }
 
 // NewIssuer returns an issuer that is an owner of no customer.
@@ -167,9 +175,12 @@
 		return 1
 	}
 	if away <= apartAfter {
+		if i.contactAt == 0 {
+			i.contactAt = now
+		}
 		return float64(len(i.peers)) / float64(max(i.peak, len(i.peers)))
 	}
-	if away > apartLimit {
+	if away > apartLimit || i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime {
 		return 0
 	}
 	side := 1 // this instance
@@ -235,20 +246,24 @@
 	count := min(ask.Count, MaxBatch, int(b.level))
 	if count <= 0 {
 		b.refusals++
-		return Granted{ID: ask.ID, RetryAfter: i.refillTime(now, b)}
+		return Granted{ID: ask.ID, RetryAfter: i.queueTime(now, b, min(ask.Count, MaxBatch))}
 	}
 	b.level -= float64(count)
 	b.granted += uint64(count)
 	return Granted{ID: ask.ID, Count: count}
 }
 
-// refillTime returns the time until a bucket has a permit.
-func (i *Issuer) refillTime(now state.Instant, b *bucket) time.Duration {
+// queueTime returns the time until a bucket has a permit again for an instance that asks for count of them now. Refused instances get
+// successive times at the pace of the refill, so that they do not all ask again for the same permit.
+func (i *Issuer) queueTime(now state.Instant, b *bucket, count int) time.Duration {
 	rate, _ := i.refill(b)
 	if rate <= 0 {
 		return i.bound.Window
 	}
-	return max(0, b.at.Sub(now)) + seconds((1-b.level)/rate)
+	first := max(now, b.at).Add(seconds((1 - b.level) / rate))
+	at := min(max(first, b.queueEnd), now.Add(MaxRefusal))
+	b.queueEnd = at.Add(seconds(float64(max(1, count)) / rate))
+	return at.Sub(now)
 }
 
 // BucketState describes a bucket for operators.
--- /dev/null
+++ b/coordination/quota/permittrouble_test.go
@@ -0,0 +1,77 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// trouble is a fault at the usual demand.
+type trouble struct {
+	name  string
+	begin func(s *permitSim)
+	end   func(s *permitSim) // after 8 s
+	// maxRefused is the part of the large customer's requests that may be refused in the 20 s from the beginning of the fault on.
+	maxRefused float64
+}
+
+func troubles() []trouble {
+	return []trouble{
+		{"none", func(*permitSim) {}, func(*permitSim) {}, 0.01},
+		{"an owner dies", func(s *permitSim) { s.kill(s.ownerOf(0)) }, func(*permitSim) {}, 0.01},
+		{"an owner restarts", func(s *permitSim) { i := s.ownerOf(0); s.kill(i); s.restart(i) }, func(*permitSim) {}, 0.01},
+		{"the store is away for 8 s", func(s *permitSim) { s.storeAway = true }, func(s *permitSim) { s.storeAway = false }, 0.25},
+		{"the store is away for 2 s", func(s *permitSim) {
+			s.storeAway = true
+			s.after(2*time.Second, func() { s.storeAway = false })
+		}, func(*permitSim) {}, 0.01},
+		{"a region is cut off for 8 s", func(s *permitSim) { s.cutRegion(-1) }, func(s *permitSim) { s.cutRegion(0) }, 0.5},
+		{"an instance is cut off for 8 s", func(s *permitSim) { s.instances[0].side = 1 }, func(s *permitSim) { s.instances[0].side = 0 }, 0.02},
+		{"an instance loses the store for 8 s", func(s *permitSim) { s.instances[0].noStore = true }, func(s *permitSim) { s.instances[0].noStore = false }, 0.01},
+		{"a twentieth of the datagrams is lost", func(s *permitSim) { s.loss = 0.05 }, func(s *permitSim) { s.loss = 0 }, 0.01},
+		{"all restart", func(s *permitSim) {
+			for _, i := range s.instances {
+				s.kill(i)
+				s.restart(i)
+			}
+		}, func(*permitSim) {}, 0.5},
+	}
+}
+
+// ownerOf returns an owner of a customer.
+func (s *permitSim) ownerOf(c int) *simInstance {
+	return s.byName[s.bound.Owners(&s.customers[c], s.list())[0].Name]
+}
+
+// cutRegion moves a region to a side of a partition.
+func (s *permitSim) cutRegion(side int) {
+	for _, i := range s.instances {
+		if i.peer.Region == "region-1" {
+			i.side = side
+		}
+	}
+}
+
+// Guards against faults that cost customers below their quotas more requests than the fault explains.
+func TestUsualDemandIsServedInTrouble(t *testing.T) {
+	for _, f := range troubles() {
+		s := newPermitSim(5, 60, 3, simCustomers())
+		s.startAll()
+		for _, c := range []int{0, 1} {
+			s.load(c, s.now.Add(40*time.Second))
+		}
+		s.run(15 * time.Second)
+		large, small := s.state[0], s.state[1]
+		large.asked, large.refused, small.asked, small.refused = 0, 0, 0, 0
+		f.begin(s)
+		broken := s.run(8 * time.Second)
+		f.end(s)
+		broken += s.run(12 * time.Second)
+		t.Logf("%s: large %d of %d refused, small %d of %d, highest part of the bound %.2f", f.name, large.refused, large.asked, small.refused, small.asked, large.peak)
+		if broken != "" {
+			t.Errorf("%s: %s", f.name, broken)
+		}
+		if float64(large.refused) > f.maxRefused*float64(large.asked) {
+			t.Errorf("%s: %d of %d refused", f.name, large.refused, large.asked)
+		}
+	}
+}
--- a/protocol/gossipwire/permits.go
+++ b/protocol/gossipwire/permits.go
@@ -36,9 +36,6 @@
 	kindGranted
 )
 
-// maxRetry bounds the time of a refusal.
-const maxRetry = time.Minute
-
 func newPermitFrame(m *gossip.Message) permitFrame {
 	f := permitFrame{From: string(m.From), Region: string(m.Region), Apart: m.Permits.Apart}
 	switch {
@@ -48,7 +45,7 @@
 	case m.Permits.Granted != nil:
 		g := m.Permits.Granted
 		f.Kind, f.ID, f.Count, f.NotOwner = kindGranted, g.ID, uint16(min(g.Count, quota.MaxBatch)), g.NotOwner
-		f.RetryMS = uint32(min(g.RetryAfter, maxRetry).Milliseconds())
+		f.RetryMS = uint32(min(g.RetryAfter, quota.MaxRefusal).Milliseconds())
 	}
 	return f
 }
@@ -65,7 +62,7 @@
 	case kindAsk:
 		m.Permits.Ask = &quota.Ask{ID: f.ID, From: m.From, Customer: state.CustomerName(f.Customer), Count: count}
 	case kindGranted:
-		retry := min(time.Duration(f.RetryMS)*time.Millisecond, maxRetry)
+		retry := min(time.Duration(f.RetryMS)*time.Millisecond, quota.MaxRefusal)
 		m.Permits.Granted = &quota.Granted{ID: f.ID, Count: count, NotOwner: f.NotOwner, RetryAfter: retry}
 	default:
 		return nil, errors.Errorf("decode message: kind %d", f.Kind)
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -321,6 +321,7 @@
 		q.m.Stats.Passed.Add(1)
 		q.writeAnswer(failure)
 	case !q.ran:
+		q.returnPermit()
 		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
 		q.m.Stats.TimedOut.Add(1)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -50,6 +50,8 @@
 	OnLimitEnd func(catalog.LimitEnded)
 	// Admit decides whether a request of a customer is within its quota, and waits at most the given time. Nil admits all.
 	Admit func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision
+	// ReturnPermit gives back the permit of a request that no backend server has run. until is from the Decision.
+	ReturnPermit func(customer *routing.Customer, until state.Instant)
 	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
 	// that is refused meanwhile returns much later.
 	TableWait time.Duration
--- a/transport/front/quota.go
+++ b/transport/front/quota.go
@@ -60,6 +60,14 @@
 		bound = min(maxQuotaWait, time.Duration(float64(target)*quotaWaitPart))
 	}
 	d := q.m.opts.Admit(q.r.Context(), q.customer, min(bound, q.timeLeft()))
-	q.admitted = q.m.opts.Loop.Now()
+	q.admitted, q.permitUntil = q.m.opts.Loop.Now(), d.Until
 	return d
 }
+
+// returnPermit gives back the permit of a request that has not run.
+func (q *request) returnPermit() {
+	if q.permitUntil != 0 && q.m.opts.ReturnPermit != nil {
+		q.m.opts.ReturnPermit(q.customer, q.permitUntil)
+		q.permitUntil = 0
+	}
+}
--- a/transport/front/quota_test.go
+++ b/transport/front/quota_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"azurebridge/coordination/quota"
+	"azurebridge/state"
 	"azurebridge/state/routing"
 )
 
@@ -97,3 +98,16 @@
 		}
 	}
 }
+
+// Guards against a permit that is lost with a request which no server could take.
+func TestPermitOfARequestThatHasNotRunIsReturned(t *testing.T) {
+	s := newFixture(t, 0, dialDirectly)
+	const until = state.Instant(time.Hour)
+	s.manager.opts.Admit = func(context.Context, *routing.Customer, time.Duration) quota.Decision {
+		return quota.Decision{Admitted: true, Until: until}
+	}
+	var returned []state.Instant
+	s.manager.opts.ReturnPermit = func(_ *routing.Customer, until state.Instant) { returned = append(returned, until) }
+	s.Expect(s.serveAs(&routing.Customer{Name: "large"}).Code).To(Equal(http.StatusServiceUnavailable))
+	s.Expect(returned).To(Equal([]state.Instant{until}))
+}
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -34,6 +34,7 @@
 	service     state.ServiceName
 	customer    *routing.Customer // that sent the request; nil for none
 	admitted    state.Instant     // when it was last found to be within the customer's quota
+	permitUntil state.Instant     // when its permit ends; 0 without one
 	timeout     time.Duration     // from arrival to the final answer
 	body        []byte            // whole, or its first maxBufferedBody bytes
 	rest        io.Reader         // the body after those bytes; nil when body is whole
--- a/transport/peers/permits.go
+++ b/transport/peers/permits.go
@@ -42,6 +42,7 @@
 	Timeouts  atomic.Uint64 // requests for permits without an answer in time
 	Late      atomic.Uint64 // answers that nobody awaits any more
 	Held      atomic.Uint64 // requests admitted with a permit that was held
+	Returned  atomic.Uint64 // permits of requests that no backend server has run
 	OwnShare  atomic.Uint64 // requests admitted without an owner
 	Exceeded  atomic.Uint64 // requests refused
 	Issued    atomic.Uint64 // permits issued as an owner
@@ -77,10 +78,10 @@
 	now := n.opts.Loop.Now()
 	h := n.holder(v, customer)
 	h.Record(now)
-	if h.Take(now) {
+	if until, ok := h.Take(now); ok {
 		n.Permits.Held.Add(1)
 		n.logCalm(h, customer, now)
-		return quota.Decision{Admitted: true}
+		return quota.Decision{Admitted: true, Until: until}
 	}
 	deadline := now.Add(wait)
 	var asked, refused []state.InstanceName
@@ -94,13 +95,16 @@
 		answer, ok := n.ask(ctx, v, customer.Name, a)
 		now = n.opts.Loop.Now()
 		switch {
-		case ok && h.Answered(now, a, answer):
-			n.Permits.Granted.Add(uint64(answer.Count))
-			n.logCalm(h, customer, now)
-			return quota.Decision{Admitted: true}
 		case ok:
-			n.Permits.Refused.Add(1)
-			if !answer.NotOwner {
+			n.Permits.Granted.Add(uint64(answer.Count))
+			if until, ok := h.Answered(now, a, answer); ok {
+				n.logCalm(h, customer, now)
+				return quota.Decision{Admitted: true, Until: until}
+			}
+			if answer.Count == 0 {
+				n.Permits.Refused.Add(1)
+			}
+			if answer.Count == 0 && !answer.NotOwner {
 				refused = append(refused, a.Owner.Name)
 			}
 		case ctx.Err() != nil:
@@ -110,9 +114,9 @@
 			h.Silent(now, a)
 		}
 	}
-	if h.Take(now) { // another request's batch has arrived meanwhile
+	if until, ok := h.Take(now); ok { // another request's batch has arrived meanwhile
 		n.Permits.Held.Add(1)
-		return quota.Decision{Admitted: true}
+		return quota.Decision{Admitted: true, Until: until}
 	}
 	allowed, retryAfter := h.Fallback(now, refused, rand.Float64())
 	if allowed {
@@ -127,6 +131,17 @@
 	return quota.Decision{RetryAfter: retryAfter}
 }
 
+// Return gives back the permit of a request that no backend server has run.
+func (n *Node) Return(customer *routing.Customer, until state.Instant) {
+	n.holders.mu.Lock()
+	h := n.holders.byName[customer.Name]
+	n.holders.mu.Unlock()
+	if h != nil && until != 0 {
+		n.Permits.Returned.Add(1)
+		h.Return(n.opts.Loop.Now(), until)
+	}
+}
+
 // logCalm logs that a customer no longer exceeds its quota.
 func (n *Node) logCalm(h *quota.Holder, customer *routing.Customer, now state.Instant) {
 	if h.Calm(now) {
