--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -55,6 +55,10 @@
 	peersChanged  uint64 // number of changes of peers
 	issuer        *quota.Issuer
 	issuerBasis   issuerBasis
+	owners        quota.PeerList // that owners of customers follow from
+	listed        []routing.Peer // its last state
+	listChanged   uint64         // number of changes of listed
+	listBasis     uint64         // peersChanged that owners reflects
 	counters      map[state.ServiceName]*Counters
 	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
@@ -126,14 +130,9 @@
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
 		c.opts.Cold, c.opts.Customers, c.dirty = ev.Cold, ev.Customers, true
-	case AskPermits:
-		c.askPermits(now, ev)
-	case HeardApart:
-		c.issuer.Hear(now, ev.From)
-	case ContactChecked:
-		c.issuer.Tick(now, ev.Away)
-	case CollectBuckets:
-		ev.Reply <- c.issuer.Buckets(now)
+	case AskPermits, HeardApart, ContactChecked, CollectBuckets:
+		c.stepIssuer(now, ev)
+		return // these come often and change nothing else
 	case Stopping:
 		c.stopping, c.dirty = true, true
 	}
@@ -166,6 +165,9 @@
 			earlier(at)
 		}
 	}
+	if at, ok := c.owners.Due(); ok {
+		earlier(at)
+	}
 	if c.peakInstances > len(c.peers) {
 		earlier(c.peakAt.Add(instanceRetention))
 	}
--- a/coordination/catalog/permits.go
+++ b/coordination/catalog/permits.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"slices"
+
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -9,25 +11,46 @@
 // issuerBasis is what the buckets of customers follow from. They are computed again only when it changes, since that takes a hash
 // for each customer and instance.
 type issuerBasis struct {
-	table        *routing.Table
-	bound        quota.CustomerBound
-	peersChanged uint64
+	table       *routing.Table
+	bound       quota.CustomerBound
+	listChanged uint64
 }
 
 // updateIssuer applies a change of the table, the bound or the list of instances to the buckets of customers.
 func (c *Core) updateIssuer(now state.Instant) {
-	basis := issuerBasis{c.table, c.opts.Customers, c.peersChanged}
+	due, ok := c.owners.Due()
+	changed := c.listBasis != c.peersChanged
+	if changed {
+		c.listBasis = c.peersChanged
+		c.owners.Update(now, c.sortedPeers())
+	}
+	if changed || ok && !now.Before(due) {
+		if peers := c.owners.Peers(now); !slices.Equal(peers, c.listed) {
+			c.listed, c.dirty = peers, true
+			c.listChanged++
+		}
+	}
+	basis := issuerBasis{c.table, c.opts.Customers, c.listChanged}
 	if c.issuerBasis == basis || c.table == nil {
 		return
 	}
 	c.issuerBasis = basis
-	c.issuer.Update(now, basis.bound, c.sortedPeers(), c.table.Customers)
+	c.issuer.Update(now, basis.bound, c.listed, c.table.Customers)
 }
 
-// askPermits answers a request for permits.
-func (c *Core) askPermits(now state.Instant, ev AskPermits) {
-	if ev.Apart {
-		c.issuer.Hear(now, ev.Ask.From)
+// stepIssuer applies an event about permits.
+func (c *Core) stepIssuer(now state.Instant, ev Event) {
+	switch ev := ev.(type) {
+	case AskPermits:
+		if ev.Apart {
+			c.issuer.Hear(now, ev.Ask.From)
+		}
+		ev.Answer(c.issuer.Grant(now, ev.Away, ev.Ask))
+	case HeardApart:
+		c.issuer.Hear(now, ev.From)
+	case ContactChecked:
+		c.issuer.Tick(now, ev.Away)
+	case CollectBuckets:
+		ev.Reply <- c.issuer.Buckets(now)
 	}
-	ev.Answer(c.issuer.Grant(now, ev.Away, ev.Ask))
 }
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -11,17 +11,18 @@
 // View is the control state that traffic goroutines read. It is immutable except for the gauges and counters that it points
 // to, which traffic goroutines update.
 type View struct {
-	Table     *routing.Table // nil until one is known
-	Services  map[state.ServiceName]*Service
-	Peers     []routing.Peer // live instances, sorted by name; self is among them once it is registered
-	Instances int            // recent max number of live instances, for shared limits
-	Evacuated map[state.DomainName]bool
-	StoreLost bool
-	Stopping  bool
-	Revision  Revision // store revision that the view reflects
-	FleetKey  []byte   // signs messages between instances; nil until one is known
-	Customers quota.CustomerBound
-	PeersSeen uint64 // number of changes of Peers
+	Table      *routing.Table // nil until one is known
+	Services   map[state.ServiceName]*Service
+	Peers      []routing.Peer // live instances, sorted by name; self is among them once it is registered
+	Instances  int            // recent max number of live instances, for shared limits
+	Evacuated  map[state.DomainName]bool
+	StoreLost  bool
+	Stopping   bool
+	Revision   Revision // store revision that the view reflects
+	FleetKey   []byte   // signs messages between instances; nil until one is known
+	Customers  quota.CustomerBound
+	Owners     []routing.Peer // that owners of customers follow from: Peers, and instances that have just disappeared together
+	OwnersSeen uint64         // number of changes of Owners
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -189,21 +189,13 @@
 			delete(i.heard, name)
 			continue
 		}
-		if name != i.self && i.listed(name) {
+		if name != i.self && containsPeer(i.peers, name) {
 			side++
 		}
 	}
 	return float64(side) / float64(max(i.peak, len(i.peers)))
 }
 
-// listed reports whether an instance is in the list, which is sorted by name.
-func (i *Issuer) listed(name state.InstanceName) bool {
-	_, found := slices.BinarySearchFunc(i.peers, name, func(p routing.Peer, name state.InstanceName) int {
-		return strings.Compare(string(p.Name), string(name))
-	})
-	return found
-}
-
 // refill returns the permits/s and the max level of a bucket. In any span of the bound they allow no more than the owner's share.
 func (i *Issuer) refill(b *bucket) (rate, stored float64) {
 	share := i.bound.issued(b.quota) * b.share * i.fraction
--- a/coordination/quota/permit_test.go
+++ b/coordination/quota/permit_test.go
@@ -289,3 +289,29 @@
 	g.Expect(after).To(ContainElements(owners[0], owners[2], owners[3], owners[5]))
 	g.Expect(after).NotTo(ContainElement(owners[1]))
 }
+
+// Guards against new owners after an outage of the store, when the leases of most instances have ended for a moment, and against
+// instances that stay owners after they have left.
+func TestInstancesThatDisappearTogetherStayOwnersForAMoment(t *testing.T) {
+	g := NewWithT(t)
+	var all []routing.Peer
+	for n := range 8 {
+		all = append(all, routing.Peer{Name: state.InstanceName(fmt.Sprint("front-", n))})
+	}
+	now := state.Instant(time.Hour)
+	var l PeerList
+	l.Update(now, all)
+	g.Expect(l.Peers(now)).To(Equal(all))
+	l.Update(now, all[1:])
+	g.Expect(l.Peers(now)).To(Equal(all[1:]), "one instance has left")
+	l.Update(now, all[:3])
+	g.Expect(l.Peers(now)).To(Equal(all), "the others have disappeared together")
+	due, ok := l.Due()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(due).To(Equal(now.Add(peerGrace)))
+	l.Update(now.Add(time.Second), all[:6])
+	g.Expect(l.Peers(now.Add(time.Second))).To(Equal(all))
+	g.Expect(l.Peers(due)).To(Equal(all[:6]))
+	_, ok = l.Due()
+	g.Expect(ok).To(BeFalse())
+}
--- a/coordination/quota/permitsim_test.go
+++ b/coordination/quota/permitsim_test.go
@@ -53,6 +53,7 @@
 	holders   []*Holder // by customer
 	peers     []routing.Peer
 	seen      uint64
+	list      PeerList
 	customers []routing.Customer
 	version   int           // of customers
 	answered  state.Instant // last answer of the store
@@ -145,6 +146,7 @@
 	i.issuer = NewIssuer(i.peer.Name)
 	i.issuer.fullStart, i.issuer.wholeSide = s.fullStart, s.wholeSide
 	i.holders, i.peers, i.answered, i.customers, i.version, i.seen = nil, nil, 0, nil, 0, 0
+	i.list = PeerList{}
 	for range s.customers {
 		h := NewHolder(s.now, &s.expired)
 		h.keepForever = s.keepForever
@@ -236,6 +238,21 @@
 			}
 		}
 	}
+	i.list.Update(s.now, list)
+	list = i.list.Peers(s.now)
+	if due, ok := i.list.Due(); ok {
+		process := i.process
+		s.after(due.Sub(s.now), func() {
+			if i.process == process {
+				s.apply(i, i.list.Peers(s.now), i.customers)
+			}
+		})
+	}
+	s.apply(i, list, customers)
+}
+
+// apply lets owners follow from a list and customers.
+func (s *permitSim) apply(i *simInstance, list []routing.Peer, customers []routing.Customer) {
 	same := len(list) > 0 && len(i.peers) == len(list) && &list[0] == &i.peers[0]
 	if i.seen > 0 && (same || slices.Equal(list, i.peers)) && slices.EqualFunc(customers, i.customers, func(a, b routing.Customer) bool { return a.Quota == b.Quota }) {
 		return
--- a/transport/peers/permits.go
+++ b/transport/peers/permits.go
@@ -159,7 +159,7 @@
 	}
 	n.holders.mu.Unlock()
 	h.Update(customer, quota.Basis{
-		Self: n.opts.Self, Region: n.opts.Region, Bound: v.Customers, Peers: v.Peers, PeersSeen: v.PeersSeen, Instances: v.Instances,
+		Self: n.opts.Self, Region: n.opts.Region, Bound: v.Customers, Peers: v.Owners, PeersSeen: v.OwnersSeen, Instances: v.Instances,
 	})
 	return h
 }
