--- a/cmd/azb-front/reload.go
+++ b/cmd/azb-front/reload.go
@@ -53,7 +53,7 @@
 	p.limits.Store(&l)
 	p.front.ApplyRetryLimit(retryLimit(l))
 	p.front.ApplyMaxKeyAge(revocationBound(l))
-	p.loop.Send(ctx, catalog.Limits{Cold: coldLimit(l)})
+	p.loop.Send(ctx, catalog.Limits{Cold: coldLimit(l), Customers: customerBound(l)})
 }
 
 func retryLimit(l settings.FrontLimits) quota.RetryLimit {
@@ -71,3 +71,7 @@
 func coldLimit(l settings.FrontLimits) quota.ColdLimit {
 	return quota.ColdLimit{Factor: l.ColdFactor, Tolerance: l.ColdTolerance}
 }
+
+func customerBound(l settings.FrontLimits) quota.CustomerBound {
+	return quota.CustomerBound{Window: l.QuotaWindow, Overage: l.QuotaOverage, Tolerance: l.QuotaTolerance}
+}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -52,7 +52,7 @@
 			if q.finishIfDone(ctx) {
 				return
 			}
-			if !q.canRetry() {
+			if !q.canRetry() || !q.admitAgain() {
 				break
 			}
 			continue
@@ -71,7 +71,7 @@
 		if answer.forwardable() {
 			failure = answer.Answer
 		}
-		if !q.canRetry() {
+		if !q.canRetry() || !q.admitAgain() {
 			break
 		}
 	}
@@ -332,6 +332,7 @@
 	case !q.ran && q.admission != admitted:
 		q.reject()
 	case !q.ran:
+		q.returnPermit()
 		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
 		q.m.Stats.TimedOut.Add(1)
