front: a request is not sent with a permit older than 300 ms

Owners' buckets assume that a request reaches its server within 300 ms after its permit. A connection that opens late, or a try after a late refusal, could bring it into another window; such a request now takes a further permit.

--- a/coordination/quota/permit_test.go
+++ b/coordination/quota/permit_test.go
@@ -183,6 +183,7 @@
 // wanderingDemand moves all requests of the large customer from instance to instance, and then spreads them over all.
 func wanderingDemand(s *permitSim) string {
 	s.startAll()
+	s.leasesEnd = false // the list of instances stays as it is
 	s.state[0].demand *= 1.3
 	s.load(0, s.now.Add(time.Duration(len(s.instances))*time.Second))
 	for at := range s.instances {
@@ -315,3 +316,28 @@
 	_, ok = l.Due()
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against owners on small instances where there are larger ones: they would spend much of their processor time on the others'
+// requests for permits.
+func TestOwnersAreMostlyInstancesWithWideLinks(t *testing.T) {
+	g := NewWithT(t)
+	b := CustomerBound{Window: 5 * time.Second, Tolerance: 20}
+	var peers []routing.Peer
+	for n := range 127 {
+		link := 10
+		if n < 12 {
+			link = 200
+		}
+		peers = append(peers, routing.Peer{Name: state.InstanceName(fmt.Sprint("front-", n)), Region: state.RegionName(fmt.Sprint("region-", n%3)), PeerAddress: "x", LinkMbps: link})
+	}
+	wide, all := 0, 0
+	for n := range 82 {
+		for _, o := range b.Owners(&routing.Customer{Name: state.CustomerName(fmt.Sprint("customer-", n)), Quota: routing.Quota{Rate: 50}}, peers) {
+			all++
+			if o.LinkMbps == 200 {
+				wide++
+			}
+		}
+	}
+	g.Expect(float64(wide) / float64(all)).To(BeNumerically(">", 0.5))
+}
--- a/coordination/quota/permitsim_test.go
+++ b/coordination/quota/permitsim_test.go
@@ -192,7 +192,7 @@
 
 // list returns the instances that the store lists.
 func (s *permitSim) list() []routing.Peer {
-	var out []routing.Peer
+	out := make([]routing.Peer, 0, len(s.instances))
 	for _, i := range s.instances {
 		if until, ok := s.leases[i.peer.Name]; ok && (!s.leasesEnd || s.now.Before(until)) {
 			out = append(out, i.peer)
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		if answer.NotRun {
-			if q.rest != nil {
+			if q.rest != nil || !q.admitAgain() {
 				break // part of the body has been streamed to the server and is no longer available
 			}
 			continue
@@ -254,6 +254,10 @@
 	if q.callerLeft() {
 		return true
 	}
+	if q.permitLate() {
+		q.m.Stats.LatePermits.Add(1)
+		return true
+	}
 	newest := q.m.opts.Loop.View()
 	if placement.StillUsable(newest, q.service, server, q.m.opts.Loop.Now()) {
 		return false
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -77,21 +77,23 @@
 	Refused   atomic.Uint64 // answered 503: the request has not run
 	OverQuota atomic.Uint64 // answered 429: the request has not run, its customer exceeds its quota
 	NoPermit  atomic.Uint64 // further tries not made because the customer exceeds its quota
-	Failed    atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
-	TimedOut  atomic.Uint64 // answered 504
-	NoRoute   atomic.Uint64 // answered 404
-	Left      atomic.Uint64 // requests whose caller disconnected early
-	Cut       atomic.Uint64 // answers aborted while their rest was streamed to the caller
-	Retries   atomic.Uint64
-	NoBudget  atomic.Uint64 // retries not sent because the retry budget was used up
-	Withdrawn atomic.Uint64 // exchanges aborted before the request was sent, because the server had left meanwhile
-	Leaving   atomic.Uint64 // backend servers that have said in an answer that they leave
-	Paused    atomic.Uint64 // pauses that backend servers have asked for
-	BadPauses atomic.Uint64 // answers with a Retry-After that is no number of seconds
-	Limits    atomic.Uint64 // limits that backend servers have begun to name, changed or ended
-	BadLimits atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
-	ToLimited atomic.Uint64 // requests that were answered by a backend server with a limit
-	InService atomic.Int64  // requests in progress
+	// LatePermits counts exchanges abandoned before the request was sent, because its permit was too old.
+	LatePermits atomic.Uint64
+	Failed      atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
+	TimedOut    atomic.Uint64 // answered 504
+	NoRoute     atomic.Uint64 // answered 404
+	Left        atomic.Uint64 // requests whose caller disconnected early
+	Cut         atomic.Uint64 // answers aborted while their rest was streamed to the caller
+	Retries     atomic.Uint64
+	NoBudget    atomic.Uint64 // retries not sent because the retry budget was used up
+	Withdrawn   atomic.Uint64 // exchanges aborted before the request was sent, because the server had left meanwhile
+	Leaving     atomic.Uint64 // backend servers that have said in an answer that they leave
+	Paused      atomic.Uint64 // pauses that backend servers have asked for
+	BadPauses   atomic.Uint64 // answers with a Retry-After that is no number of seconds
+	Limits      atomic.Uint64 // limits that backend servers have begun to name, changed or ended
+	BadLimits   atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
+	ToLimited   atomic.Uint64 // requests that were answered by a backend server with a limit
+	InService   atomic.Int64  // requests in progress
 }
 
 // New returns a Manager.
--- a/transport/front/quota.go
+++ b/transport/front/quota.go
@@ -16,9 +16,14 @@
 	noTargetWait = 250 * time.Millisecond
 )
 
+// limited reports whether the request's customer has a quota.
+func (q *request) limited() bool {
+	return q.customer != nil && q.m.opts.Admit != nil && q.view.Customers.Binds(q.customer.Quota)
+}
+
 // admitQuota takes a permit for the request when its customer has a quota. When there is none it answers 429 and returns false.
 func (q *request) admitQuota() bool {
-	if q.customer == nil || q.m.opts.Admit == nil {
+	if !q.limited() {
 		return true
 	}
 	d := q.takePermit()
@@ -37,13 +42,13 @@
 // admitAgain takes a further permit where the request is about to be sent to another server and counts again: a server has run it or
 // may have, or the permit is too old to arrive in time.
 func (q *request) admitAgain() bool {
-	if q.customer == nil || q.m.opts.Admit == nil {
+	if !q.limited() {
 		return true
 	}
 	if q.sent >= q.route.MaxAttempts {
 		return true // nextServer ends the request
 	}
-	if !q.ran && q.m.opts.Loop.Now().Sub(q.admitted) < quota.MaxTransit {
+	if !q.ran && !q.permitLate() {
 		return true
 	}
 	if !q.takePermit().Admitted {
@@ -54,6 +59,12 @@
 	return true
 }
 
+// permitLate reports whether the request has a permit with which it must not be sent any more: what owners issue is sized so that
+// requests arrive within quota.MaxTransit.
+func (q *request) permitLate() bool {
+	return q.limited() && q.m.opts.Loop.Now().Sub(q.admitted) >= quota.MaxTransit
+}
+
 func (q *request) takePermit() quota.Decision {
 	bound := noTargetWait
 	if target := q.route.TargetLatency; target > 0 {
--- a/transport/front/quota_test.go
+++ b/transport/front/quota_test.go
@@ -10,17 +10,33 @@
 
 	. "github.com/onsi/gomega"
 
+	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
 
+// large is a customer with a quota.
+var large = &routing.Customer{Name: "large", Quota: routing.Quota{Rate: 1}}
+
+// limitCustomers puts quotas into force.
+func (s *fixture) limitCustomers() {
+	s.loop.Send(context.Background(), catalog.Limits{Customers: quota.CustomerBound{Window: 5 * time.Second}})
+	s.Eventually(func() time.Duration { return s.loop.View().Customers.Window }, testTimeout).ShouldNot(BeZero())
+}
+
 // serveAs serves a request of a customer.
 func (s *fixture) serveAs(customer *routing.Customer) *httptest.ResponseRecorder {
+	return s.serveWith(customer, func(*request) {})
+}
+
+// serveWith is as serveAs, and calls prepare with the request before it is served.
+func (s *fixture) serveWith(customer *routing.Customer, prepare func(*request)) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "http://x.example/a", nil)
 	r.RequestURI = "/a"
 	q := &request{m: s.manager, w: w, r: r, view: s.loop.View(), arrived: s.loop.Now(), caller: Caller{RequestID: "r-1"}, customer: customer}
+	prepare(q)
 	s.Expect(q.match()).To(BeTrue())
 	q.service = "svc"
 	if q.admitQuota() {
@@ -42,11 +58,13 @@
 		admitted bool
 		want     int
 	}{
-		{&routing.Customer{Name: "large"}, false, http.StatusTooManyRequests},
-		{&routing.Customer{Name: "large"}, true, http.StatusOK},
+		{large, false, http.StatusTooManyRequests},
+		{large, true, http.StatusOK},
 		{nil, false, http.StatusOK},
+		{&routing.Customer{Name: "free"}, false, http.StatusOK},
 	} {
 		s := newFixture(t, 1, dialDirectly)
+		s.limitCustomers()
 		s.manager.opts.Admit = func(_ context.Context, _ *routing.Customer, wait time.Duration) quota.Decision {
 			s.Expect(wait).To(BeNumerically("<=", maxQuotaWait))
 			return quota.Decision{Admitted: c.admitted, RetryAfter: 1500 * time.Millisecond}
@@ -81,13 +99,14 @@
 		s.items[len(s.items)-1].Fact.(*routing.Table).Routes[0].Idempotent = true
 		s.list()
 		s.Eventually(func() *routing.Table { return s.loop.View().Table }, testTimeout).ShouldNot(BeNil())
+		s.limitCustomers()
 		s.manager.ApplyRetryLimit(quota.RetryLimit{Ratio: 10, Window: time.Second})
 		asked := 0
 		s.manager.opts.Admit = func(context.Context, *routing.Customer, time.Duration) quota.Decision {
 			asked++
 			return quota.Decision{Admitted: asked <= permits}
 		}
-		w := s.serveAs(&routing.Customer{Name: "large"})
+		w := s.serveAs(large)
 		s.Expect(asked).To(Equal(2))
 		if permits == 2 {
 			s.Expect(w.Code).To(Equal(http.StatusOK))
@@ -102,12 +121,36 @@
 // Guards against a permit that is lost with a request which no server could take.
 func TestPermitOfARequestThatHasNotRunIsReturned(t *testing.T) {
 	s := newFixture(t, 0, dialDirectly)
+	s.limitCustomers()
 	const until = state.Instant(time.Hour)
 	s.manager.opts.Admit = func(context.Context, *routing.Customer, time.Duration) quota.Decision {
 		return quota.Decision{Admitted: true, Until: until}
 	}
 	var returned []state.Instant
 	s.manager.opts.ReturnPermit = func(_ *routing.Customer, until state.Instant) { returned = append(returned, until) }
-	s.Expect(s.serveAs(&routing.Customer{Name: "large"}).Code).To(Equal(http.StatusServiceUnavailable))
+	s.Expect(s.serveAs(large).Code).To(Equal(http.StatusServiceUnavailable))
 	s.Expect(returned).To(Equal([]state.Instant{until}))
 }
+
+// Guards against a request that reaches a server long after its permit was issued, in another window: once its connection is open, it
+// needs a further permit.
+func TestRequestWithALatePermitTakesAnother(t *testing.T) {
+	dials := 0
+	var q *request
+	s := newFixture(t, 2, func(s *fixture, ctx context.Context, network, address string) (net.Conn, error) {
+		if dials++; dials == 1 {
+			q.admitted = q.admitted.Add(-quota.MaxTransit) // as if the connection had opened that much later
+		}
+		return dialDirectly(s, ctx, network, address)
+	})
+	s.limitCustomers()
+	asked := 0
+	s.manager.opts.Admit = func(context.Context, *routing.Customer, time.Duration) quota.Decision {
+		asked++
+		return quota.Decision{Admitted: true}
+	}
+	s.Expect(s.serveWith(large, func(served *request) { q = served }).Code).To(Equal(http.StatusOK))
+	s.Expect(asked).To(Equal(2))
+	s.Expect(s.requests()).To(HaveLen(1))
+	s.Expect(s.manager.Stats.LatePermits.Load()).To(Equal(uint64(1)))
+}
