--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -34,10 +34,11 @@
 	massExpiryMinShare = 0.25
 )
 
-// Options configure a core. A Limits event replaces Cold.
+// Options configure a core. A Limits event replaces Cold and Customers.
 type Options struct {
-	Self state.InstanceName
-	Cold quota.ColdLimit
+	Self      state.InstanceName
+	Cold      quota.ColdLimit
+	Customers quota.CustomerBound
 }
 
 // Core holds the control state. It belongs to the control goroutine.
@@ -52,6 +53,12 @@
 	evacuated     map[string]Evacuation
 	peers         map[string]*routing.Peer
 	peersChanged  uint64 // number of changes of peers
+	issuer        *quota.Issuer
+	issuerBasis   issuerBasis
+	owners        quota.PeerList // that owners of customers follow from
+	listed        []routing.Peer // its last state
+	listChanged   uint64         // number of changes of listed
+	listBasis     uint64         // peersChanged that owners reflects
 	counters      map[state.ServiceName]*Counters
 	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
@@ -93,6 +100,7 @@
 	return &Core{
 		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), retained: make(map[string]state.Instant), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), distances: make(map[state.RegionName]*Distance), dirty: true,
+		issuer: quota.NewIssuer(opts.Self),
 	}
 }
 
@@ -126,15 +134,22 @@
 	case Collect:
 		ev.Reply <- StoreContent{Revision: c.revision, Items: c.items(now)}
 	case Limits:
-		c.opts.Cold, c.dirty = ev.Cold, true
+		c.opts.Cold, c.opts.Customers, c.dirty = ev.Cold, ev.Customers, true
+	case AskPermits, HeardApart, ContactChecked, CollectBuckets:
+		c.stepIssuer(now, ev)
+		return // these come often and change nothing else
 	case Stopping:
 		c.stopping, c.dirty = true, true
 	}
 	c.expire(now)
+	c.updateIssuer(now)
 }
 
 // Tick removes missing servers whose grace period has ended, and updates the instance count.
-func (c *Core) Tick(now state.Instant) { c.expire(now) }
+func (c *Core) Tick(now state.Instant) {
+	c.expire(now)
+	c.updateIssuer(now)
+}
 
 // NextTick returns when Tick is due, and false when no deadline is pending. Nothing is removed while the store is unavailable, so
 // that no removal is due then.
@@ -155,6 +170,9 @@
 			earlier(at)
 		}
 	}
+	if at, ok := c.owners.Due(); ok {
+		earlier(at)
+	}
 	if c.peakInstances > len(c.peers) {
 		earlier(c.peakAt.Add(instanceRetention))
 	}
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -26,7 +26,7 @@
 	LogLevel  string
 }
 
-// FrontLimits holds limits and times. The retry and cold limits hold for all instances of a deployment together, the others for
+// FrontLimits holds limits and times. The retry and cold limits and the quotas hold for all instances of a deployment together, the others for
 // each instance.
 type FrontLimits struct {
 	StopGrace      time.Duration // max time from the stop signal to the end of the process
@@ -34,11 +34,14 @@
 	RetryRatio     float64       // retries per request for a service, in one window
 	RetryExtra     float64       // retries in one window, in addition to RetryRatio
 	RetryWindow    time.Duration
-	ColdFactor     float64 // multiple of the service's ColdRate that a cold backend server may get
-	ColdTolerance  float64 // requests/s in addition to ColdFactor
-	MemoryMegabyte float64 // memory of the process in MiB; 0 sets no limit
-	MaxDescriptors float64 // open descriptors that the process may have; 0 if not known
-	LinkMbps       float64 // bandwidth of the instance's link in Mbit/s; 0 if not known
+	ColdFactor     float64       // multiple of the service's ColdRate that a cold backend server may get
+	ColdTolerance  float64       // requests/s in addition to ColdFactor
+	MemoryMegabyte float64       // memory of the process in MiB; 0 sets no limit
+	MaxDescriptors float64       // open descriptors that the process may have; 0 if not known
+	LinkMbps       float64       // bandwidth of the instance's link in Mbit/s; 0 if not known
+	QuotaWindow    time.Duration // span of time for which quotas of customers hold; 0 for no quotas
+	QuotaOverage   float64       // part of a quota by which it may be exceeded
+	QuotaTolerance float64       // requests in one window, in addition to QuotaOverage
 	// StrictRevocation is whether requests with a key are refused while the instance's knowledge of the store is older than
 	// RevokeAfter.
 	StrictRevocation bool
@@ -92,17 +95,19 @@
 	}
 	s = f.Section("limits")
 	out.Limits = FrontLimits{
-		StopGrace:      s.Duration("stop_grace", defaultStopGrace, 0, maxDuration),
-		LookupTTL:      s.Duration("lookup_ttl", defaultLookupTTL, 0, maxDuration),
-		RetryRatio:     s.Number("retry_ratio", defaultRetryRatio, 0, maxShare),
-		RetryExtra:     s.Number("retry_extra", 0, 0, maxCount),
-		RetryWindow:    max(minRetryWindow, s.Duration("retry_window", defaultRetryWindow, 0, maxDuration)),
-		ColdFactor:     s.Number("cold_factor", 1, 0, maxShare),
-		ColdTolerance:  s.Number("cold_tolerance", 0, 0, maxCount),
-		MemoryMegabyte: s.Number("memory_mb", 0, 0, maxMegabyte),
-		MaxDescriptors: s.Number("max_fds", 0, 0, maxCount),
-		LinkMbps:       s.Number("link_mbps", 0, 0, maxMbps),
-
+		StopGrace:        s.Duration("stop_grace", defaultStopGrace, 0, maxDuration),
+		LookupTTL:        s.Duration("lookup_ttl", defaultLookupTTL, 0, maxDuration),
+		RetryRatio:       s.Number("retry_ratio", defaultRetryRatio, 0, maxShare),
+		RetryExtra:       s.Number("retry_extra", 0, 0, maxCount),
+		RetryWindow:      max(minRetryWindow, s.Duration("retry_window", defaultRetryWindow, 0, maxDuration)),
+		ColdFactor:       s.Number("cold_factor", 1, 0, maxShare),
+		ColdTolerance:    s.Number("cold_tolerance", 0, 0, maxCount),
+		MemoryMegabyte:   s.Number("memory_mb", 0, 0, maxMegabyte),
+		MaxDescriptors:   s.Number("max_fds", 0, 0, maxCount),
+		LinkMbps:         s.Number("link_mbps", 0, 0, maxMbps),
+		QuotaWindow:      s.Duration("quota_window", 0, 0, maxDuration),
+		QuotaOverage:     s.Number("quota_overage", 0, 0, maxShare),
+		QuotaTolerance:   s.Number("quota_tolerance", 0, 0, maxCount),
 		StrictRevocation: s.Bool("strict_revocation", false),
 		RevokeAfter:      s.Duration("revoke_after", defaultRevokeAfter, 0, maxDuration),
 	}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -52,13 +52,13 @@
 			if q.finishIfDone(ctx) {
 				return
 			}
-			if !q.canRetry() {
+			if !q.canRetry() || !q.admitAgain() {
 				break
 			}
 			continue
 		}
 		if answer.NotRun {
-			if q.rest != nil {
+			if q.rest != nil || !q.admitAgain() {
 				break // part of the body has been streamed to the server and is no longer available
 			}
 			continue
@@ -71,7 +71,7 @@
 		if answer.forwardable() {
 			failure = answer.Answer
 		}
-		if !q.canRetry() {
+		if !q.canRetry() || !q.admitAgain() {
 			break
 		}
 	}
@@ -261,6 +261,10 @@
 	if q.callerLeft() {
 		return true
 	}
+	if q.permitLate() {
+		q.m.Stats.LatePermits.Add(1)
+		return true
+	}
 	newest := q.m.opts.Loop.View()
 	if q.withdrawForCustomer(newest, server) {
 		return true
@@ -333,6 +337,7 @@
 	case !q.ran && q.admission != admitted:
 		q.reject()
 	case !q.ran:
+		q.returnPermit()
 		q.refuse(q.lastOutcome, max(q.retryAfter, refusedRetryAfter))
 	case q.timeLeft() <= 0:
 		q.m.Stats.TimedOut.Add(1)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -56,6 +57,10 @@
 	Metrics   metrics.Registry
 	// OnLimitEnd is called when a backend server names no limit any more. It must not block.
 	OnLimitEnd func(catalog.LimitEnded)
+	// Admit decides whether a request of a customer is within its quota, and waits at most the given time. Nil admits all.
+	Admit func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision
+	// ReturnPermit gives back the permit of a request that no backend server has run. until is from the Decision.
+	ReturnPermit func(customer *routing.Customer, until state.Instant)
 	// TableWait is how long requests wait for the first routing table. An instance has it some 100 ms after its start; a caller
 	// that is refused meanwhile returns much later.
 	TableWait time.Duration
@@ -80,23 +85,27 @@
 	Served    atomic.Uint64
 	Passed    atomic.Uint64 // answers of backend servers with a 5xx status that were forwarded to the caller
 	Refused   atomic.Uint64 // answered 503: the request has not run
-	Failed    atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
-	TimedOut  atomic.Uint64 // answered 504
-	NoRoute   atomic.Uint64 // answered 404
-	NoKey     atomic.Uint64 // answered 401: the request has no known key, and its route requires one
-	Anonymous atomic.Uint64 // requests without a known key on routes that allow it, where the table has customers
-	Unproved  atomic.Uint64 // requests with a key that were refused because this instance's knowledge of the keys may be too old
-	Left      atomic.Uint64 // requests whose caller disconnected early
-	Cut       atomic.Uint64 // answers aborted while their rest was streamed to the caller
-	Retries   atomic.Uint64
-	NoBudget  atomic.Uint64 // retries not sent because the retry budget was used up
-	Withdrawn atomic.Uint64 // exchanges aborted before the request was sent, because the server had left meanwhile
-	Leaving   atomic.Uint64 // backend servers that have said in an answer that they leave
-	Paused    atomic.Uint64 // pauses that backend servers have asked for
-	BadPauses atomic.Uint64 // answers with a Retry-After that is no number of seconds
-	Limits    atomic.Uint64 // limits that backend servers have begun to name, changed or ended
-	BadLimits atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
-	ToLimited atomic.Uint64 // requests that were answered by a backend server with a limit
+	OverQuota atomic.Uint64 // answered 429: the request has not run, its customer exceeds its quota
+	NoPermit  atomic.Uint64 // further tries not made because the customer exceeds its quota
+	// LatePermits counts exchanges abandoned before the request was sent, because its permit was too old.
+	LatePermits atomic.Uint64
+	Failed      atomic.Uint64 // answered 502: the request may have run, and no backend server gave an answer to forward
+	TimedOut    atomic.Uint64 // answered 504
+	NoRoute     atomic.Uint64 // answered 404
+	NoKey       atomic.Uint64 // answered 401: the request has no known key, and its route requires one
+	Anonymous   atomic.Uint64 // requests without a known key on routes that allow it, where the table has customers
+	Unproved    atomic.Uint64 // requests with a key that were refused because this instance's knowledge of the keys may be too old
+	Left        atomic.Uint64 // requests whose caller disconnected early
+	Cut         atomic.Uint64 // answers aborted while their rest was streamed to the caller
+	Retries     atomic.Uint64
+	NoBudget    atomic.Uint64 // retries not sent because the retry budget was used up
+	Withdrawn   atomic.Uint64 // exchanges aborted before the request was sent, because the server had left meanwhile
+	Leaving     atomic.Uint64 // backend servers that have said in an answer that they leave
+	Paused      atomic.Uint64 // pauses that backend servers have asked for
+	BadPauses   atomic.Uint64 // answers with a Retry-After that is no number of seconds
+	Limits      atomic.Uint64 // limits that backend servers have begun to name, changed or ended
+	BadLimits   atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
+	ToLimited   atomic.Uint64 // requests that were answered by a backend server with a limit
 	// NoMemory counts requests answered 503 because the memory for callers and servers was used up.
 	NoMemory   atomic.Uint64
 	SlowBodies atomic.Uint64 // answered 408: the caller sent nothing of the body for too long
@@ -137,6 +146,9 @@
 		return
 	}
 	q.service = q.route.Part(rand.Float64())
+	if !q.admitQuota() {
+		return
+	}
 	q.forward()
 }
 
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -35,6 +35,8 @@
 	identified  *routing.Table    // by which customer was looked up last
 	guarded     bool              // a table with customers was in force: neither the key nor the caller's own customer header goes to a server
 	service     state.ServiceName
+	admitted    state.Instant   // when it was last found to be within the customer's quota
+	permitUntil state.Instant   // when its permit ends; 0 without one
 	timeout     time.Duration   // from arrival to the final answer
 	hold        *membudget.Hold // memory of the request and its answer; nil sets no bound
 	body        []byte          // whole, or its first maxBufferedBody bytes
