catalog, metastore: contact with the store does not depend on watches that deliver changes

Cause: one interrupted watch set storeLost, which blocks the removal of missing servers, and only a watch or listing with an answer or a relayed change reset it, although the renewals of the lease were answered all the while.

Ruled out: the relays (instances that get the changes relayed remove the servers after 1.2 s) and the size of the grace period.

Change: catalog.storeContact alone holds whether the store answers and what follows from it. Any answer ends an interruption, renewals too. An interrupted watch is repeated with a short wait, and after two in a row without an answer the store is listed: an instance whose watches are never answered learned of no change. The same cause elsewhere: a reader with interrupted watches kept the trust of its group by the renewals of its lease; Contact now counts these no longer while watches are interrupted.

--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -56,8 +56,7 @@
 	distances     map[state.RegionName]*Distance
 	fleetKey      []byte
 	fleetKeyKey   string
-	storeLost     bool
-	outageUntil   state.Instant // end of the last store outage, plus outageRecoveryTime
+	contact       storeContact
 	stopping      bool
 	peakInstances int // recent max number of live instances
 	peakAt        state.Instant
@@ -102,16 +101,8 @@
 		if c.advance(ev.Source, ev.After, ev.Revision) && len(ev.Items) > 0 {
 			c.applyChanges(now, ev.Items)
 		}
-	case StoreLost:
-		if !c.storeLost {
-			c.storeLost = true
-			c.log("store unavailable")
-		}
-	case StoreRecovered:
-		if c.storeLost {
-			c.storeLost, c.outageUntil = false, now.Add(outageRecoveryTime)
-			c.log("store available again")
-		}
+	case StoreLost, WatchInterrupted, StoreRecovered, LeaseRenewed:
+		c.updateContact(now, ev)
 	case Observed:
 		c.observe(now, ev)
 	case LimitNamed:
@@ -128,6 +119,26 @@
 	c.expire(now)
 }
 
+// updateContact records whether the store answers. Interruptions of watches may be frequent and get no log entry.
+func (c *Core) updateContact(now state.Instant, ev Event) {
+	before := c.contact
+	switch ev.(type) {
+	case StoreLost:
+		c.contact.failed(now)
+	case WatchInterrupted:
+		c.contact.interrupted(now)
+	default:
+		c.contact.answered(now)
+	}
+	switch {
+	case c.contact.callFailed && !before.callFailed:
+		c.log("store unavailable")
+	case before.callFailed && !c.contact.callFailed:
+		c.log("store available again")
+	}
+	c.dirty = c.dirty || c.contact.lost != before.lost
+}
+
 // Tick removes missing servers whose grace period has ended, and updates the instance count.
 func (c *Core) Tick(now state.Instant) { c.expire(now) }
 
@@ -140,7 +151,7 @@
 			due = at
 		}
 	}
-	if !c.storeLost {
+	if c.contact.mayRemove() {
 		for _, m := range c.servers {
 			if m.missingSince != 0 {
 				earlier(m.missingSince.Add(m.grace))
@@ -226,10 +237,7 @@
 	if missing < massExpiryMinCount || float64(missing) < massExpiryMinShare*float64(len(c.servers)) {
 		return 0
 	}
-	if c.storeLost || now.Before(c.outageUntil) {
-		return OutageGrace
-	}
-	return massExpiryGrace
+	return c.contact.massGrace(now)
 }
 
 // applyTable puts a table into force, unless the current one has the same or a newer version.
@@ -324,7 +332,7 @@
 func (c *Core) expire(now state.Instant) {
 	c.expireRetained(now)
 	for key, m := range c.servers {
-		if m.missingSince != 0 && !now.Before(m.missingSince.Add(m.grace)) && !c.storeLost {
+		if m.missingSince != 0 && !now.Before(m.missingSince.Add(m.grace)) && c.contact.mayRemove() {
 			c.removeServer(now, key, m)
 		}
 	}
--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -59,12 +59,18 @@
 	Items           []Item
 }
 
-// StoreLost reports that the store does not answer this instance.
+// StoreLost reports that the store did not answer a call that it otherwise answers at once.
 type StoreLost struct{}
 
-// StoreRecovered reports that the store answers again.
+// WatchInterrupted reports that a watch ended early or was not answered. The store may work nevertheless.
+type WatchInterrupted struct{}
+
+// StoreRecovered reports that the store has answered a listing or a watch, or that a reader relays its changes.
 type StoreRecovered struct{}
 
+// LeaseRenewed reports that the store has answered a renewal of the instance's lease.
+type LeaseRenewed struct{}
+
 // Observed is the outcome of one exchange with a backend server, as seen by a traffic goroutine.
 type Observed struct {
 	Server  state.BackendName
@@ -98,16 +104,18 @@
 // Stopping reports that the process has begun its planned stop.
 type Stopping struct{}
 
-func (Listed) event()         {}
-func (Changed) event()        {}
-func (StoreLost) event()      {}
-func (StoreRecovered) event() {}
-func (Observed) event()       {}
-func (LimitNamed) event()     {}
-func (LimitEnded) event()     {}
-func (Collect) event()        {}
-func (Limits) event()         {}
-func (Stopping) event()       {}
+func (Listed) event()           {}
+func (Changed) event()          {}
+func (StoreLost) event()        {}
+func (WatchInterrupted) event() {}
+func (LeaseRenewed) event()     {}
+func (StoreRecovered) event()   {}
+func (Observed) event()         {}
+func (LimitNamed) event()       {}
+func (LimitEnded) event()       {}
+func (Collect) event()          {}
+func (Limits) event()           {}
+func (Stopping) event()         {}
 
 // Outcome is how an exchange with a backend server ended.
 type Outcome int
--- a/coordination/catalog/listing.go
+++ b/coordination/catalog/listing.go
@@ -97,7 +97,7 @@
 
 // expireRetained removes the keys that a copy of the store lacked and that nobody has written again in time.
 func (c *Core) expireRetained(now state.Instant) {
-	if c.storeLost {
+	if !c.contact.mayRemove() {
 		return
 	}
 	for key, until := range c.retained {
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -16,7 +16,7 @@
 	}
 	c.dirty = false
 	v := &View{
-		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.storeLost,
+		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.contact.lost,
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
 	}
 	for _, e := range c.evacuated {
--- a/transport/metastore/follower.go
+++ b/transport/metastore/follower.go
@@ -30,6 +30,9 @@
 	// relistDelay is how long another instance may know a newer revision before the follower lists again. Usually the watch
 	// returns the changes within this time, once the pause after earlier changes is over.
 	relistDelay = watchPause + 150*time.Millisecond
+	// maxInterrupted is the number of watches in a row without an answer after which the store is listed: it may answer no watch
+	// at all.
+	maxInterrupted = 2
 )
 
 // Reasons to list the store again.
@@ -79,6 +82,8 @@
 	tables   tableTracker
 	revision atomic.Pointer[catalog.Revision] // up to which this instance knows the store; nil before the first
 	relist   chan struct{}                    // a signal requests a new listing from Run
+	// interrupted is the number of watches in a row that ended without an answer. It belongs to the goroutine of Run.
+	interrupted int
 }
 
 // FollowerStats counts the follower's calls.
@@ -133,6 +138,7 @@
 	listed, gap := false, false
 	for ctx.Err() == nil {
 		var err error
+		watching := false
 		if !listed && !f.Revision().IsZero() && f.stale() {
 			listed = f.ask(ctx) // first, because a listing may take seconds to fail
 		}
@@ -147,11 +153,12 @@
 		case f.opts.Relays.Covered():
 			err = f.followRelays(ctx)
 		default:
+			watching = true
 			err = f.watch(ctx)
 		}
 		switch {
 		case err == nil:
-			backoff = minBackoff
+			backoff, f.interrupted = minBackoff, 0
 		case errors.Is(err, errRelistRequested), errors.Is(err, errMissedChanges), errors.Is(err, errRelayGap):
 			f.Stats.Abandoned.Add(1)
 			f.opts.Log.Warn("changes may have been missed; listing the store again", "revision", f.Revision().String(), "why", err.Error())
@@ -161,7 +168,10 @@
 			f.opts.Log.Warn("store no longer has the history; listing again", "revision", f.Revision().String(), "why", err.Error())
 			listed = false
 		default:
-			f.reportFailure(ctx, err)
+			f.reportFailure(ctx, err, watching)
+			if watching && f.interrupted >= maxInterrupted && !errors.Is(err, ErrRefused) {
+				listed, f.interrupted = false, 0
+			}
 			listed = f.ask(ctx) || listed
 			if !wait.For(ctx, backoff) {
 				return
@@ -225,6 +235,7 @@
 
 // followRelays applies the changes that the readers relay until the relays are no longer complete.
 func (f *Follower) followRelays(ctx context.Context) error {
+	f.opts.Contact.Resume()
 	f.opts.Log.Info("readers relay the store's changes", "revision", f.Revision().String())
 	for {
 		select {
@@ -269,12 +280,18 @@
 	return nil
 }
 
-// reportFailure counts and logs a failed call to the store, and reports the store as lost.
-func (f *Follower) reportFailure(ctx context.Context, err error) {
+// reportFailure counts and logs a failed call to the store, and reports the store as lost, or only the watch as interrupted.
+func (f *Follower) reportFailure(ctx context.Context, err error, watching bool) {
 	f.Stats.Failures.Add(1)
 	if ctx.Err() != nil {
 		return
 	}
 	f.opts.Log.Warn("store does not answer", "error", err.Error())
-	f.opts.Sink.Send(ctx, catalog.StoreLost{})
+	if !watching {
+		f.opts.Sink.Send(ctx, catalog.StoreLost{})
+		return
+	}
+	f.interrupted++
+	f.opts.Contact.Interrupt()
+	f.opts.Sink.Send(ctx, catalog.WatchInterrupted{})
 }
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -35,8 +35,8 @@
 	stopped bool
 }
 
-// NewRegistrar returns a Registrar; Run starts it. It sends catalog.StoreLost to sink when the store stops answering, marks
-// contact at each answer, and calls regained when the store answers again.
+// NewRegistrar returns a Registrar; Run starts it. It sends catalog.StoreLost to sink when the store stops answering and
+// catalog.LeaseRenewed while it answers, marks contact at each answer, and calls regained when the store answers again.
 func NewRegistrar(store Store, sink EventSink, contact *Contact, regained func(), log hclog.Logger) *Registrar {
 	return &Registrar{store: store, sink: sink, contact: contact, regained: regained, log: log}
 }
@@ -51,12 +51,15 @@
 		}
 		answered := err == nil || errors.Is(err, ErrNoLease)
 		if answered {
-			r.contact.Mark()
+			r.contact.MarkCall()
 		}
 		switch {
 		case answered && storeLost:
 			storeLost = false
 			r.regained()
+		case answered:
+			// Not at the first answer after a failure: the listing that it requests shows first which servers have registered again.
+			r.sink.Send(ctx, catalog.LeaseRenewed{})
 		case !answered && !storeLost:
 			storeLost = true
 			r.sink.Send(ctx, catalog.StoreLost{})
--- a/transport/metastore/watch.go
+++ b/transport/metastore/watch.go
@@ -16,6 +16,9 @@
 const (
 	// watchSlack is how much longer than the requested wait the call of a watch may take.
 	watchSlack = 2 * time.Second
+	// confirmWait is how long a watch waits after an interrupted one. It shows soon whether changes were missed, and whether the
+	// store answers watches at all.
+	confirmWait = 50 * time.Millisecond
 	// watchPause is the pause after a watch returned changes, so that changes in quick succession cost one call.
 	watchPause = 500 * time.Millisecond
 )
@@ -33,8 +36,11 @@
 // watch makes one watch call to the store, and sends and publishes the changes that it returns.
 func (f *Follower) watch(ctx context.Context) error {
 	f.Stats.Watches.Add(1)
-	after, maxWait := f.Revision(), f.opts.NextWait()
-	call, cancel := context.WithTimeout(ctx, maxWait+watchSlack)
+	after, maxWait, slack := f.Revision(), confirmWait, callTimeout
+	if f.interrupted == 0 {
+		maxWait, slack = f.opts.NextWait(), watchSlack
+	}
+	call, cancel := context.WithTimeout(ctx, maxWait+slack)
 	defer cancel()
 	results := make(chan watchResult, 1)
 	go func() {
