backendconn, platform: the head of an answer must be well formed by itself

Cause: bytes that belong to no request and the head of the true answer were parsed as one head, whose Not-Executed counted by its mere presence, so that a request that had run was sent to a second server.

Ruled out: whole late copies (skipped by their ID, or not counted without one) and bytes that arrive while a connection is idle.

Change: protocol/answerhead checks the bytes of each head: strict status line, header lines with CRLF, no status line within a line. "Not run" takes the value 1 exactly with the request's own ID, or status 421, and a whole body of known length; two IDs fail the exchange. Bytes on a new connection before the request is sent end the exchange unsent, and a connection is not used again for an ID that it has carried. The same cause elsewhere: azb-entry's client took any rejection header as proof; it now must be single, and no header may contain a status line.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"azurebridge/protocol/answerhead"
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 )
@@ -152,13 +154,28 @@
 		c.Counters.NotSent.Add(1)
 		return nil, ProofNotSent, errors.Wrapf(err, "connect to backend server %s", call.Server.Name)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(callers.HeaderNotRun) != "" {
+	if refused(resp) {
 		c.Counters.Refused.Add(1)
 		return resp, ProofRefused, nil
 	}
 	return resp, ProofAnswered, nil
 }
 
+// refused reports whether a backend server has rejected a request without running it. A header that contains a status line consists
+// of parts of two answers, and such an answer proves nothing.
+func refused(resp *http.Response) bool {
+	values := resp.Header[callers.HeaderNotRun]
+	if resp.StatusCode != http.StatusServiceUnavailable || len(values) != 1 || values[0] == "" {
+		return false
+	}
+	for _, lines := range resp.Header {
+		if slices.ContainsFunc(lines, answerhead.HasStatusLine) {
+			return false
+		}
+	}
+	return !answerhead.HasStatusLine(resp.Status)
+}
+
 // limitReceiveBuffer limits the kernel's receive buffer to the bytes that arrive at the rate during MaxRoundTrip, and at least
 // MinReceiveBuffer. A rate of 0 sets no limit.
 func limitReceiveBuffer(c net.Conn, rate int64) {
--- a/transport/backendconn/conn.go
+++ b/transport/backendconn/conn.go
@@ -6,13 +6,17 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"azurebridge/protocol/answerhead"
 )
 
 // Times of idle connections, and bounds of what is read.
@@ -25,6 +29,8 @@
 	maxHead = 64 << 10
 	// readBuffer is the size of a connection's read buffer, in bytes. Most answers fit.
 	readBuffer = 4 << 10
+	// maxCarried is the number of request IDs that a connection remembers.
+	maxCarried = 4
 )
 
 // errHeadTooLarge means that the head of an answer does not end within maxHead bytes.
@@ -38,6 +44,7 @@
 	idleTimeout time.Duration  // after which the server closes an idle connection
 	idleSince   time.Time      // when it became idle; its monotonic reading is used
 	used        bool           // whether a whole exchange has been completed on it
+	carried     []string       // IDs of the last maxCarried requests that it has carried
 }
 
 func newConn(c net.Conn) *conn {
@@ -45,17 +52,36 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, idleTimeout: defaultIdleTimeout}
 }
 
-// readResponse reads the head of an answer, which may have up to maxHead bytes besides those that are buffered.
+// heads holds buffers for the bytes of heads, as *[]byte.
+var heads = sync.Pool{New: func() any { return new([]byte) }}
+
+// readResponse reads the head of an answer, which may have up to maxHead bytes besides those that are buffered. It fails for a head
+// that is not well formed by itself: net/http accepts lines that consist of parts of two answers.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	c.limited.remaining = maxHead
-	defer func() { c.limited.remaining = math.MaxInt64 }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	buffer := heads.Get().(*[]byte)
+	defer heads.Put(buffer)
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	*buffer = append((*buffer)[:0], buffered...)
+	c.limited.remaining, c.limited.seen = maxHead, buffer
+	defer func() { c.limited.remaining, c.limited.seen = math.MaxInt64, nil }()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := answerhead.Check((*buffer)[:len(*buffer)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // limitedReader fails with errHeadTooLarge once the remaining bytes have been read.
 type limitedReader struct {
 	io.Reader
 	remaining int64
+	seen      *[]byte // gets the bytes that are read, unless nil
 }
 
 func (r *limitedReader) Read(b []byte) (int, error) {
@@ -64,6 +90,9 @@
 	}
 	n, err := r.Reader.Read(b[:min(int64(len(b)), r.remaining)])
 	r.remaining -= int64(n)
+	if r.seen != nil {
+		*r.seen = append(*r.seen, b[:n]...)
+	}
 	return n, err
 }
 
@@ -80,15 +109,24 @@
 	}
 }
 
-// usable reports whether a request can be sent on the connection: its idle time is at most maxIdle and at least idleMargin
-// below the server's timeout, and the server has neither closed it nor sent bytes that belong to no request.
-func (c *conn) usable(maxIdle time.Duration) bool {
-	if time.Since(c.idleSince) > min(maxIdle, c.idleTimeout-idleMargin) || c.reader.Buffered() > 0 {
+// usable reports whether a request can be sent on the connection: its idle time is at most MaxIdle and at least idleMargin
+// below the server's timeout, the server has neither closed it nor sent bytes that belong to no request, and it has carried no
+// request with the same ID, whose answer may arrive late.
+func (c *conn) usable(r *Request) bool {
+	if time.Since(c.idleSince) > min(r.MaxIdle, c.idleTimeout-idleMargin) || c.reader.Buffered() > 0 || slices.Contains(c.carried, r.ID) {
 		return false
 	}
 	return !c.readable()
 }
 
+// remember adds a request's ID to those that the connection has carried.
+func (c *conn) remember(id string) {
+	c.carried = append(c.carried, id)
+	if len(c.carried) > maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+}
+
 // readable reports whether a read would return at once, with bytes, the end of the stream or an error. It does not block.
 func (c *conn) readable() bool {
 	raw, ok := c.Conn.(syscall.Conn)
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -35,6 +35,7 @@
 // Marks holds what an answer's headers state about it.
 type Marks struct {
 	RequestID   string // of the request that it answers; empty when the headers state none
+	Ambiguous   bool   // the headers state two IDs of requests
 	Signed      bool   // the server has marked the answer as its own
 	NotRun      bool   // the server did not run the request
 	WrongServer bool   // the address belongs to a server other than the intended one
@@ -72,6 +73,9 @@
 // ErrWithdrawn is the cause of a failure whose request was withdrawn before anything was sent.
 var ErrWithdrawn = errors.New("request withdrawn")
 
+// errEarlyBytes means that the server has sent bytes on a new connection, or closed it, before the request was sent.
+var errEarlyBytes = errors.New("bytes or the end of the connection before the request was sent")
+
 // errUnnamedAnswer means that an answer on a connection that has carried other requests does not name the one it answers.
 var errUnnamedAnswer = errors.New("the answer names no request, and the connection has carried others")
 
@@ -119,6 +123,11 @@
 		return nil, &Failure{Step: "send to", Peer: r.Address, Err: ErrWithdrawn}
 	}
 	reused := c.used
+	if !reused && c.readable() { // of one that is reused, usable has checked it
+		c.Close()
+		return nil, &Failure{Step: "send to", Peer: r.Address, Err: errEarlyBytes}
+	}
+	c.remember(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &exchange{pool: p, key: key, conn: c, dialect: d, request: r, stop: stop}
 	a, err := x.run()
@@ -173,6 +182,7 @@
 		return nil, x.failure("read answer of", true, errors.New("the body is too long for an unsigned answer"))
 	}
 	a.Body = body
+	a.NotRun = a.NotRun && x.provesNotRun(resp, marks, len(body) <= MaxBuffered)
 	if len(body) > MaxBuffered {
 		a.Rest = &restReader{x: x, resp: resp}
 		return a, nil
@@ -181,6 +191,13 @@
 	return a, nil
 }
 
+// provesNotRun reports whether a rejection is complete and authentic: it names the request, unless the address belongs to another
+// server, and its length is known, so that it cannot have been cut off unnoticed.
+func (x *exchange) provesNotRun(resp *http.Response, marks Marks, whole bool) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.request.NoBody
+	return whole && framed && (marks.WrongServer || marks.RequestID == x.request.ID)
+}
+
 // hasLongBody reports whether the body is written while the answer is read.
 func (r *Request) hasLongBody() bool { return r.Rest != nil || len(r.Body) > maxShortBody }
 
@@ -241,6 +258,9 @@
 			continue
 		}
 		marks := x.dialect.Inspect(resp.Header, resp.StatusCode)
+		if marks.Ambiguous {
+			return nil, Marks{}, x.failure("read answer of", true, errors.New("the answer names two requests"))
+		}
 		if marks.RequestID == x.request.ID || marks.RequestID == "" && !x.conn.used {
 			return resp, marks, nil
 		}
--- a/transport/backendconn/pool.go
+++ b/transport/backendconn/pool.go
@@ -57,17 +57,17 @@
 	if r.ID == "" {
 		return p.open(ctx, key)
 	}
-	return p.get(ctx, key, r.MaxIdle)
+	return p.get(ctx, key, r)
 }
 
-// get returns a usable connection that has been idle for at most maxIdle, or opens one.
-func (p *Pool) get(ctx context.Context, key serverKey, maxIdle time.Duration) (*conn, error) {
+// get returns an idle connection that is usable for the request, or opens one.
+func (p *Pool) get(ctx context.Context, key serverKey, r *Request) (*conn, error) {
 	for {
 		c := p.takeIdle(key)
 		if c == nil {
 			break
 		}
-		if c.usable(maxIdle) {
+		if c.usable(r) {
 			p.Stats.Reused.Add(1)
 			return c, nil
 		}
