backend: bytes held back by a full window do not end a connection

Cause: TCP_USER_TIMEOUT of 1 s also counts bytes that wait for the window of a server that reads nothing for a while, so that a long body was broken off, also after SIGTERM.

Ruled out: the planned stop itself (it waits for requests in flight) and the route's time-out.

Change: connections look at what the kernel waits for while bytes are unacknowledged (TCP_INFO each 0.2 s) and fail when sent bytes, or several probes of a full window, stay without an acknowledgement for 1 s. Without traffic one keep-alive probe decides after 1.5 s, as before. It holds for all connections of the dialer: backend servers, the store, other instances, and azb-entry.

TestSilentConnectionsAreDetected drops all packets of the other end by a socket filter: detected after 1.0 s with bytes sent, 1.6 s without traffic, 2.7 s with a full window.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -179,7 +179,7 @@
 // limitReceiveBuffer limits the kernel's receive buffer to the bytes that arrive at the rate during MaxRoundTrip, and at least
 // MinReceiveBuffer. A rate of 0 sets no limit.
 func limitReceiveBuffer(c net.Conn, rate int64) {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(interface{ SetReadBuffer(bytes int) error })
 	if !ok || rate <= 0 {
 		return
 	}
--- a/transport/backend/dial.go
+++ b/transport/backend/dial.go
@@ -10,9 +10,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// Dial opens a TCP connection that fails when the other host does not acknowledge sent data within UnackedTimeout.
+// Dial opens a TCP connection that fails when the other host does not acknowledge sent data within UnackedTimeout, or answers no
+// probes while there is no traffic. A host that reads nothing but acknowledges what it gets is healthy, however long that takes:
+// whoever sends bounds that time.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return newDialer().DialContext(ctx, network, address)
+	return dial(ctx, newDialer(), network, address)
 }
 
 // DialFrom returns a Dialer like Dial whose connections come from the given address of this instance. Backend servers and
@@ -22,23 +24,40 @@
 	if local.IsValid() && !local.IsUnspecified() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
-	return d.DialContext
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dial(ctx, d, network, address)
+	}
+}
+
+func dial(ctx context.Context, d *net.Dialer, network, address string) (net.Conn, error) {
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	out, err := newAckConn(tcp)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return out, nil
 }
 
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: KeepAliveInterval, Count: 2,
+			// The connection fails 1.5 s after the last traffic, when one probe has not been answered.
+			Enable: true, Idle: time.Second, Interval: KeepAliveInterval, Count: 1,
 		},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var optErr error
 			err := c.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout/time.Millisecond))
-				if optErr == nil {
-					// Choose the local port at connect, so that it only has to be unique for each backend server.
-					optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
-				}
+				// Choose the local port at connect, so that it only has to be unique for each backend server.
+				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
 			})
 			if err != nil {
 				return err
