backendconn, callerconn: the rest of a long body is sent after an early success

Cause: after a request with a body of more than 16 KiB the connection was closed as soon as the answer was there, while the body was still being sent, and the caller's rest of a body of more than 1 MiB was given up.

Ruled out: a loss at the caller (it had sent all of the body) and the server (it reads on).

Change: after an answer below status 400 backendconn sends the body to its end, bounded by 15 s without a byte, 5 min, and 16 MiB in memory of all requests whose callers go on; then it keeps the connection for 5 s or until the server closes it. callerconn reads a streamed body on after the answer, without closing the connection (ReadOn). A planned stop waits for bodies that are being sent. The head of a request with a long body is written before the answer is read. The same cause elsewhere: azb-entry uses net/http's client, which also ends the body with the answer; not changed.

Failing first on the code before: azb-front.TestBodyArrivesWholeAfterAnEarlySuccess (900 KiB: nothing arrived whole; 2 MiB: the answer closed the connection). The stand-in records the bodies that it reads after an early answer.

--- a/cmd/azb-front/stop.go
+++ b/cmd/azb-front/stop.go
@@ -19,7 +19,7 @@
 )
 
 // stop removes the instance from look-ups, keeps accepting callers whose earlier look-up is still valid, and returns when no
-// request is in flight or the grace period is over.
+// request is in flight and no body is being sent, or the grace period is over.
 func (p *program) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.limits.Load().StopGrace-stopMargin)
 	defer cancel()
@@ -31,7 +31,7 @@
 	if err := p.listener.Close(); err != nil {
 		p.log.Warn("closing the callers' listener failed", "error", err.Error())
 	}
-	for p.callers.CloseIdle() > 0 && wait.For(ctx, stopPollInterval) {
+	for p.callers.CloseIdle()+p.pool.Trailing() > 0 && wait.For(ctx, stopPollInterval) {
 	}
 	p.log.Info("planned stop ends", "requests", p.front.Stats.InService.Load(), "ms", time.Since(start).Milliseconds())
 }
--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,6 +87,9 @@
 	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered
 	// Connect is how long it took to open the connection; 0 when one was reused.
 	Connect time.Duration
+	// Sending is closed when the rest of the request's body has been sent or given up, which the caller's connection is needed for;
+	// nil when it is not needed. The server has answered early then.
+	Sending <-chan struct{}
 }
 
 // Failure is an exchange without a whole answer.
@@ -155,6 +157,9 @@
 	dialect Dialect
 	request *Request
 	stop    func() bool // detaches the connection from ctx; false when ctx has already ended
+	body    *longBody   // nil for a short body
+	// inMemory is the size of a body that is counted in Pool.trailingBytes.
+	inMemory int64
 }
 
 // failure returns an error with the failed step and whether bytes of the request were sent.
@@ -164,11 +169,17 @@
 
 // run sends the request and reads the answer, or its first bytes when its body is larger than MaxBuffered.
 func (x *exchange) run() (*Answer, error) {
-	if x.request.hasLongBody() {
-		go x.writeLong()
-	} else if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
+	long := x.request.hasLongBody()
+	first := x.request.Head // sent before the answer is read: what arrives earlier is no answer
+	if !long {
+		first = append(first, x.request.Body...)
+	}
+	if n, err := x.conn.Write(first); err != nil {
 		return nil, x.failure("send to", n > 0, err)
 	}
+	if long {
+		x.body = startLongBody(x.conn, x.request)
+	}
 	resp, marks, err := x.readHead()
 	if err != nil {
 		return nil, err
@@ -183,6 +194,7 @@
 	}
 	a.Body = body
 	a.NotRun = a.NotRun && x.provesNotRun(resp, marks, len(body) <= MaxBuffered)
+	a.Sending = x.sending(resp)
 	if len(body) > MaxBuffered {
 		a.Rest = &restReader{x: x, resp: resp}
 		return a, nil
@@ -201,48 +213,6 @@
 // hasLongBody reports whether the body is written while the answer is read.
 func (r *Request) hasLongBody() bool { return r.Rest != nil || len(r.Body) > maxShortBody }
 
-// writeLong writes a request with a long body while the answer is read. A failure on the server's side also ends the reading,
-// so that only an error on the caller's side has to close the connection here.
-func (x *exchange) writeLong() {
-	source := &bodySource{Reader: bytes.NewReader(x.request.Body)}
-	if x.request.Rest != nil {
-		source.Reader = io.MultiReader(source.Reader, x.request.Rest)
-	}
-	if _, err := x.conn.Write(x.request.Head); err != nil {
-		return
-	}
-	if !x.request.Chunked {
-		_, _ = io.Copy(x.conn, source)
-	} else if chunks := httputil.NewChunkedWriter(x.conn); copyAll(chunks, source) {
-		_, _ = io.WriteString(x.conn, "\r\n")
-	}
-	if source.err != nil {
-		x.conn.Close()
-	}
-}
-
-// copyAll copies a body and closes the writer. It returns false when either fails.
-func copyAll(w io.WriteCloser, r io.Reader) bool {
-	if _, err := io.Copy(w, r); err != nil {
-		return false
-	}
-	return w.Close() == nil
-}
-
-// bodySource records an error on the caller's side, which io.Copy does not distinguish from one on the server's side.
-type bodySource struct {
-	io.Reader
-	err error
-}
-
-func (s *bodySource) Read(b []byte) (int, error) {
-	n, err := s.Reader.Read(b)
-	if err != io.EOF {
-		s.err = err
-	}
-	return n, err
-}
-
 // readHead reads the head of the answer to this request. It skips informational answers and late answers to earlier requests.
 func (x *exchange) readHead() (*http.Response, Marks, error) {
 	method := http.MethodGet
@@ -277,13 +247,20 @@
 	return nil, Marks{}, x.failure("read answer of", true, errors.New("too many informational answers or answers to other requests"))
 }
 
-// release returns the connection to the pool when the server keeps it open. After a request with a long body it closes the
-// connection: the server may have answered without having read all of the body.
+// release returns the connection to the pool when the server keeps it open. After a request with a long body the connection is
+// closed, once the body has been sent: the server may have answered without having read all of it.
 func (x *exchange) release(resp *http.Response) {
 	if !x.stop() {
+		if x.body != nil {
+			x.endBody()
+		}
 		return // ctx has ended, which closes the connection
 	}
-	if x.request.hasLongBody() || resp.Close || x.conn.reader.Buffered() > 0 {
+	if x.body != nil {
+		x.finishBody(resp.StatusCode)
+		return
+	}
+	if resp.Close || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
@@ -291,16 +268,29 @@
 	x.pool.put(x.key, x.conn)
 }
 
-// restReader streams the rest of a large answer. Close closes the connection.
+// restReader streams the rest of a large answer. Close closes the connection, after a whole answer once the request's body has been
+// sent.
 type restReader struct {
-	x    *exchange
-	resp *http.Response
+	x     *exchange
+	resp  *http.Response
+	whole bool
 }
 
-func (r *restReader) Read(b []byte) (int, error) { return r.resp.Body.Read(b) }
+func (r *restReader) Read(b []byte) (int, error) {
+	n, err := r.resp.Body.Read(b)
+	r.whole = r.whole || err == io.EOF
+	return n, err
+}
 
 func (r *restReader) Close() error {
+	if r.x.body != nil && r.whole {
+		r.x.release(r.resp)
+		return nil
+	}
 	r.x.stop()
+	if r.x.body != nil {
+		r.x.endBody()
+	}
 	return r.x.conn.Close()
 }
 
--- a/transport/backendconn/pool.go
+++ b/transport/backendconn/pool.go
@@ -32,6 +32,9 @@
 	dial  Dialer
 	Stats Stats
 
+	trailing      atomic.Int64 // requests that have been answered while their bodies are being sent
+	trailingBytes atomic.Int64 // of those bodies, if they are in memory and their callers' connections go on
+
 	mu    sync.Mutex
 	idle  map[serverKey][]*conn // newest last
 	count int                   // of all idle connections
@@ -45,6 +48,9 @@
 	DialFailed atomic.Uint64
 	Strays     atomic.Uint64 // answers that belong to another request
 	Unnamed    atomic.Uint64 // answers that name no request, on a connection that has carried others
+	// Trailing counts the successes before the body of the request had been sent, TrailingCut those whose body was not sent to its end.
+	Trailing    atomic.Uint64
+	TrailingCut atomic.Uint64
 }
 
 // NewPool returns an empty pool.
--- a/transport/callerconn/exchange.go
+++ b/transport/callerconn/exchange.go
@@ -90,7 +90,7 @@
 }
 
 // closesWithAnswer decides whether the connection ends with this answer, and records it: because the handler wants that, the
-// caller sends no more, or the body of the request has not been read. While further requests are in progress, only the last
+// caller sends no more, or the body of the request has not been read and is not read on. While further requests are in progress, only the last
 // answer can close the connection, since theirs would be lost.
 func (x *exchange) closesWithAnswer(wanted bool) bool {
 	c := x.conn
@@ -98,10 +98,29 @@
 	defer c.mu.Unlock()
 	c.stopping = c.stopping || wanted
 	last := len(c.queue) == 1
-	c.closing = last && (c.stopping || lastOfConnection(x.request) || x.body != nil && !x.body.whole.Load())
+	c.closing = last && (c.stopping || lastOfConnection(x.request) || x.body != nil && !x.body.whole.Load() && x.response.readOn == nil)
 	return c.closing
 }
 
+// readOn keeps the body readable after the answer until the channel is closed or the connection ends. When the body has not been read
+// to its end then, the connection ends like one whose last answer has been sent.
+func (x *exchange) readOn(until <-chan struct{}) {
+	if until == nil {
+		return
+	}
+	select {
+	case <-until:
+	case <-x.conn.ctx.Done():
+	}
+	if x.body.whole.Load() {
+		return
+	}
+	x.conn.mu.Lock()
+	x.conn.closing = true
+	x.conn.mu.Unlock()
+	x.conn.closeAfterAnswer()
+}
+
 // endBody gives up the rest of the request's body, which nothing needs after the answer.
 func (x *exchange) endBody() {
 	if x.body == nil || x.body.whole.Load() {
--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -32,10 +32,11 @@
 	header   http.Header
 	sent     bool // the head has been written
 	framing  framing
-	left     int64          // bytes of the body that are still due, when counted
-	chunks   io.WriteCloser // when chunked
-	closes   bool           // the connection ends with this answer
-	err      error          // of an earlier write
+	left     int64           // bytes of the body that are still due, when counted
+	chunks   io.WriteCloser  // when chunked
+	closes   bool            // the connection ends with this answer
+	readOn   <-chan struct{} // until when the body is read on after the answer; nil for not at all
+	err      error           // of an earlier write
 }
 
 // Header returns the headers to be sent.
@@ -50,6 +51,10 @@
 // before. A request that must not run once an earlier answer has closed the connection calls it first.
 func (w *response) AwaitTurn(ctx context.Context) error { return w.exchange.awaitTurn(ctx) }
 
+// ReadOn keeps the body of the request readable after the answer, until the channel is closed. The connection takes up no further
+// request before. It is called before WriteHeader.
+func (w *response) ReadOn(until <-chan struct{}) { w.readOn = until }
+
 // WriteHeader writes the head of the answer.
 func (w *response) WriteHeader(status int) {
 	if w.sent {
@@ -151,6 +156,7 @@
 	if w.closes {
 		w.exchange.conn.closeAfterAnswer()
 	}
+	w.exchange.readOn(w.readOn)
 	w.exchange.endBody()
 	return nil
 }
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -25,6 +25,12 @@
 	q.writeAnswer(a.Answer)
 }
 
+// bodyReader is a response writer that reads on the request's body after the answer.
+type bodyReader interface {
+	// ReadOn keeps the body readable until the channel is closed. It is called before WriteHeader.
+	ReadOn(until <-chan struct{})
+}
+
 // writeAnswer forwards a server's answer unchanged. When the server breaks off, the connection to the caller is aborted, so
 // that the answer does not look complete.
 func (q *request) writeAnswer(a *backendconn.Answer) {
@@ -39,6 +45,9 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	q.closeIfStopping()
+	if w, ok := q.w.(bodyReader); ok && a.Sending != nil {
+		w.ReadOn(a.Sending)
+	}
 	q.w.WriteHeader(a.Status)
 	if q.r.Method == http.MethodHead {
 		return
