--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -173,6 +174,10 @@
 	})
 	p.factsClient = peers.NewFactsClient(p.loop, cfg.Peers.String(), cfg.Seeds)
 	p.registrar = metastore.NewRegistrar(p.store, p.loop, p.contact, p.follower.Relist, p.log.Named("store"))
+	p.registrar.CheckListed(func() bool {
+		v := p.loop.View()
+		return v.StoreLost || slices.ContainsFunc(v.Peers, func(other routing.Peer) bool { return other.Name == cfg.Name })
+	})
 }
 
 // serve runs the program until a stop signal or the failure of a server.
--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 
+	"golang.org/x/sys/unix"
+
 	"azurebridge/state"
 	"azurebridge/state/routing"
 )
@@ -40,6 +42,10 @@
 		c.cancel()
 		c.closeNow()
 	case len(c.queue) > 0:
+		if c.leftWithinBody(c.queue[0]) {
+			stats.LeftInBody.Add(1)
+			c.cancel()
+		}
 	case !c.partial && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
 		stats.Idle.Add(1)
 		c.closeNow()
@@ -49,6 +55,31 @@
 	}
 }
 
+// leftWithinBody reports whether the caller has left before the end of a request's body. While the server reads nothing, neither does
+// the connection, so that this does not show otherwise. A caller that has ended its sending side after the whole body has not left.
+// c.mu is held on entry.
+func (c *conn) leftWithinBody(x *exchange) bool {
+	if c.source.raw == nil || x.body == nil || x.body.whole.Load() || c.ctx.Err() != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var unread int
+	var infoErr, unreadErr error
+	err := c.source.raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		unread, unreadErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	})
+	switch {
+	case err != nil || infoErr != nil || unreadErr != nil:
+		return false // the connection has been closed here
+	case info.State == unix.BPF_TCP_CLOSE:
+		return true // the caller has reset it
+	case info.State != unix.BPF_TCP_CLOSE_WAIT || x.request.ContentLength < 0:
+		return false // what is left of a chunked body is not known
+	}
+	return x.request.ContentLength-x.body.count.Load() > int64(unread)+readBuffer
+}
+
 // maxPiece is the max number of bytes of one write, whose time maxWriteTime bounds: a caller that reads slowly makes progress.
 const maxPiece = 64 << 10
 
--- a/transport/callerconn/request.go
+++ b/transport/callerconn/request.go
@@ -77,6 +77,7 @@
 	sendInterim func() error  // before the first read; nil when the caller does not wait for it
 	ended       chan struct{} // closed at the end of the body, or when it is given up
 	whole       atomic.Bool   // it has been read to its end
+	count       atomic.Int64  // bytes that have been read
 
 	mu   sync.Mutex
 	done bool
@@ -102,6 +103,7 @@
 		b.sendInterim = nil
 	}
 	n, err := b.source.Read(p)
+	b.count.Add(int64(n))
 	if err != nil {
 		b.err = err
 		b.whole.Store(err == io.EOF)
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -64,6 +64,7 @@
 	Idle         atomic.Uint64 // connections closed because they were idle for longer than the limit
 	SlowHeaders  atomic.Uint64 // connections closed because a request's header was not complete within the limit
 	SlowReaders  atomic.Uint64 // connections closed because the caller did not accept an answer within maxWriteTime
+	LeftInBody   atomic.Uint64 // connections whose caller left before the end of a body that was not being read
 	Malformed    atomic.Uint64 // requests that could not be read
 	Ahead        atomic.Uint64 // requests taken up while an earlier one of their connection was in progress
 	Held         atomic.Uint64 // requests that waited for an earlier one because of MaxAhead or the bound of the connection
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -19,6 +19,9 @@
 	// renewInterval lets the lease survive two lost renewals.
 	renewInterval = 1100 * time.Millisecond
 	callTimeout   = 800 * time.Millisecond
+	// maxUnlisted is the number of renewals after which an entry that the instance does not see is written again: it usually sees
+	// its own entry within one.
+	maxUnlisted = 3
 )
 
 // Registrar keeps this instance's entry in the store while the instance accepts requests. Its regular calls also detect an
@@ -29,6 +32,8 @@
 	contact  *Contact
 	regained func() // called when the store answers again after a failure
 	log      hclog.Logger
+	listed   func() bool // whether the instance sees its own entry; may be nil
+	unlisted int         // renewals in a row at which it did not
 
 	mu      sync.Mutex
 	lease   LeaseID // number 0 without one
@@ -41,6 +46,10 @@
 	return &Registrar{store: store, sink: sink, contact: contact, regained: regained, log: log}
 }
 
+// CheckListed has the entry written again when listed reports for maxUnlisted renewals that the instance does not see it: a late write
+// of an earlier process of the same name may have bound it to a lease that has expired since. Call it before Run.
+func (r *Registrar) CheckListed(listed func() bool) { r.listed = listed }
+
 // Run registers the instance and renews its lease until ctx ends or Leave is called.
 func (r *Registrar) Run(ctx context.Context) {
 	registered, storeLost := false, false
@@ -74,23 +83,30 @@
 	}
 }
 
-// renewOrRegister renews the lease of a registered instance. Otherwise it creates a lease and registers the instance under it.
+// renewOrRegister renews the lease, and registers the instance under it unless it is registered. A lease under which the entry could
+// not be written is used again as long as it lasts: the write may be carried out late, and would bind the entry to a lease that
+// nobody renews. The store rejects writes under a lease that has ended.
 func (r *Registrar) renewOrRegister(ctx context.Context, registered *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if *registered {
-		err := r.store.Renew(ctx, r.lease)
+	lease := r.lease
+	if lease.Number != 0 {
+		err := r.store.Renew(ctx, lease)
 		if errors.Is(err, ErrNoLease) {
 			*registered = false
+			r.setLease(LeaseID{})
+		}
+		if err != nil || *registered && !r.isUnlisted() {
+			return err
+		}
+	} else {
+		var err error
+		if lease, _, err = r.store.Grant(ctx, EntryTTL); err != nil {
+			return err
+		}
+		if !r.setLease(lease) {
+			return r.store.Revoke(ctx, lease)
 		}
-		return err
-	}
-	lease, _, err := r.store.Grant(ctx, EntryTTL)
-	if err != nil {
-		return err
-	}
-	if !r.setLease(lease) {
-		return r.store.Revoke(ctx, lease)
 	}
 	if err := r.store.Register(ctx, lease); err != nil {
 		return err
@@ -100,6 +116,20 @@
 	return nil
 }
 
+// isUnlisted reports whether the instance has not seen its own entry for maxUnlisted renewals.
+func (r *Registrar) isUnlisted() bool {
+	if r.listed == nil || r.listed() {
+		r.unlisted = 0
+		return false
+	}
+	r.unlisted++
+	if r.unlisted < maxUnlisted {
+		return false
+	}
+	r.unlisted = 0
+	return true
+}
+
 // setLease stores the lease. It returns false when Leave has been called meanwhile.
 func (r *Registrar) setLease(lease LeaseID) bool {
 	r.mu.Lock()
