--- a/transport/backendconn/answerbody.go
+++ b/transport/backendconn/answerbody.go
@@ -17,7 +17,7 @@
 	b := membudget.NewBuffer(x.request.Memory, resp.ContentLength, MaxBuffered)
 	err := b.Fill(resp.Body)
 	if errors.Is(err, membudget.ErrFull) && a.Signed || errors.Is(err, membudget.ErrExhausted) && a.streamable() {
-		a.Body, a.Rest = b.Bytes(), &restReader{b.Rest(resp.Body), x}
+		a.Body, a.Rest = b.Bytes(), &restReader{Reader: b.Rest(resp.Body), x: x, resp: resp}
 		return nil
 	}
 	if err != nil {
--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -50,8 +50,17 @@
 	q.refuse("memory is used up", memoryRetryAfter)
 }
 
-// freeMemory releases the memory of the request.
-func (q *request) freeMemory() { q.hold.Free() }
+// freeMemory releases the memory of the request, once its body has been sent to a server that has answered early.
+func (q *request) freeMemory() {
+	if q.unsent == nil {
+		q.hold.Free()
+		return
+	}
+	go func() {
+		<-q.unsent
+		q.hold.Free()
+	}()
+}
 
 func isTimeout(err error) bool {
 	var timeout net.Error
