answerhead, backend: a status that HTTP does not define is no answer

Cause: a status line was accepted with any three digits, so that a caller got a server's answer with the status 000 as an answer (azb-front), or its connection was closed and the submission was recorded as run with that status (azb-entry). Change: only statuses from 100 to 599 are read as answers; anything else is a failed exchange that may have run.

--- a/cmd/azb-front/path_test.go
+++ b/cmd/azb-front/path_test.go
@@ -48,6 +48,7 @@
 		{"unsigned", standin.Unsigned, http.StatusBadGateway, 1},
 		{"shed", standin.Shed, http.StatusOK, 1},
 		{"unframed", standin.Unframed, http.StatusOK, 1},
+		{"status 000", standin.StatusZero, http.StatusBadGateway, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, 2)
--- a/protocol/answerhead/answerhead.go
+++ b/protocol/answerhead/answerhead.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -45,11 +46,18 @@
 	}
 }
 
-// isStatusLine reports whether a line is "HTTP/1.x NNN", with or without a reason.
+// ValidStatus reports whether HTTP defines the class of a status (RFC 9110, section 15).
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
+
+// isStatusLine reports whether a line is "HTTP/1.x NNN" with a valid status, with or without a reason.
 func isStatusLine(line []byte) bool {
 	if !startsStatusLine(string(line)) || line[5] != '1' {
 		return false
 	}
+	status, err := strconv.Atoi(string(line[len("HTTP/1.1 "):len("HTTP/1.1 200")]))
+	if err != nil || !ValidStatus(status) {
+		return false
+	}
 	reason := line[len("HTTP/1.1 200"):]
 	return len(reason) == 0 || reason[0] == ' ' && httpguts.ValidHeaderFieldValue(string(reason))
 }
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -138,6 +138,10 @@
 	if timer != nil {
 		timer.Stop()
 	}
+	if err == nil && !answerhead.ValidStatus(resp.StatusCode) {
+		resp.Body.Close()
+		err = errors.Errorf("the answer has the status %03d, which HTTP does not define", resp.StatusCode)
+	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
