--- a/cmd/azb-front/reload.go
+++ b/cmd/azb-front/reload.go
@@ -44,7 +44,9 @@
 		return
 	}
 	p.applyLimits(ctx, cfg.Limits)
+	p.front.ApplyOverloadControl(cfg.OverloadControl)
 	p.log.Info("settings reloaded", "retry_ratio", cfg.Limits.RetryRatio, "retry_extra", cfg.Limits.RetryExtra,
+		"overload_control", cfg.OverloadControl,
 		"cold_factor", cfg.Limits.ColdFactor, "cold_tolerance", cfg.Limits.ColdTolerance, "stop_grace_ms", cfg.Limits.StopGrace.Milliseconds(),
 		"strict_revocation", cfg.Limits.StrictRevocation, "revoke_after_ms", cfg.Limits.RevokeAfter.Milliseconds())
 }
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -118,7 +118,8 @@
 	p.front = front.New(front.Options{
 		Loop: p.loop, Pool: p.pool, Dialect: platform.Headers{}, Region: cfg.Region,
 		Retry: retryLimit(cfg.Limits), MaxKeyAge: revocationBound(cfg.Limits), Log: p.log.Named("front"), Metrics: p.metrics, TableWait: tableWait,
-		OnLimitEnd: func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
+		OverloadControl: cfg.OverloadControl,
+		OnLimitEnd:      func(ended catalog.LimitEnded) { p.peers.AnnounceLimitEnd(ended) },
 		Admit: func(ctx context.Context, customer *routing.Customer, wait time.Duration) quota.Decision {
 			return p.peers.Admit(ctx, customer, wait)
 		},
--- a/coordination/catalog/gauge.go
+++ b/coordination/catalog/gauge.go
@@ -88,6 +88,19 @@
 	return max(own, float64(g.reportedLoad+g.sentSince)*float64(loadHalfWeightAge)/float64(loadHalfWeightAge+age))
 }
 
+// LoadAgainst estimates the number of requests at the server as Load does, but with the usual number of requests at a server of the
+// service in place of what the age of the report takes from its weight: an old report says little, and not that the server is idle.
+func (g *Gauge) LoadAgainst(now state.Instant, usual float64) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := float64(len(g.startTimes))
+	if g.reportedAt == 0 {
+		return max(own, usual)
+	}
+	weight := float64(loadHalfWeightAge) / float64(loadHalfWeightAge+max(0, now.Sub(g.reportedAt)))
+	return max(own, weight*float64(g.reportedLoad+g.sentSince)+(1-weight)*usual)
+}
+
 // Bounds of a reported work time, as a multiple of the usual. They keep a faulty report from attracting or repelling all requests.
 const (
 	MinSlowness = 0.2
@@ -121,6 +134,7 @@
 // use.
 type ServiceTime struct {
 	nanos atomic.Int64
+	count atomic.Int64 // of measurements
 }
 
 // smoothingDivisor sets the weight of the newest response in the moving average: 1/smoothingDivisor.
@@ -128,18 +142,74 @@
 
 // Record adds a measured time, queueing included, of a server with the given load and number of slots.
 func (s *ServiceTime) Record(took time.Duration, load float64, slots int) {
-	unqueued := int64(float64(took) / max(1, load/float64(max(1, slots))))
+	s.record(unqueued(took, load, slots), smoothingDivisor)
+}
+
+// unqueued returns the part of the time that the work took on a server with the given load and number of slots.
+func unqueued(took time.Duration, load float64, slots int) time.Duration {
+	return time.Duration(float64(took) / max(1, load/float64(max(1, slots))))
+}
+
+// record adds a time to the moving average with a weight of 1/divisor.
+func (s *ServiceTime) record(took time.Duration, divisor int64) {
+	s.count.Add(1)
 	old := s.nanos.Load()
 	if old == 0 {
-		s.nanos.Store(unqueued)
+		s.nanos.Store(int64(took))
 		return
 	}
-	s.nanos.Store(old + (unqueued-old)/smoothingDivisor)
+	s.nanos.Store(old + (int64(took)-old)/divisor)
 }
 
 // Estimate returns the mean time, or 0 before the first measurement.
 func (s *ServiceTime) Estimate() time.Duration { return time.Duration(s.nanos.Load()) }
 
+// WorkTimes estimates the service time of requests by what the server probably has cached. It is safe for concurrent use.
+type WorkTimes struct {
+	member, other, plain ServiceTime
+}
+
+// WorkKind tells requests apart by what the server probably has cached.
+type WorkKind int
+
+const (
+	MemberWork WorkKind = iota // the server is one of those that usually get the object
+	OtherWork                  // the server is any other
+	PlainWork                  // the request concerns no object
+)
+
+// workSmoothing is as smoothingDivisor, for WorkTimes. Some requests take seven times as long as the mean; one of them must not
+// nearly double an estimate from which requests are refused.
+const workSmoothing = 32
+
+// Record adds a measured time as ServiceTime.Record does.
+func (w *WorkTimes) Record(kind WorkKind, took time.Duration, load float64, slots int) {
+	s := w.of(kind)
+	s.record(unqueued(took, load, slots), min(workSmoothing, s.count.Load()+1)) // at first the mean of all
+}
+
+func (w *WorkTimes) of(kind WorkKind) *ServiceTime {
+	return [...]*ServiceTime{&w.member, &w.other, &w.plain}[kind]
+}
+
+// Estimate returns the time of a kind; 0 before the first measurement. Work at other servers takes at least as long as at those that
+// usually get the object.
+func (w *WorkTimes) Estimate(kind WorkKind) time.Duration {
+	if kind == OtherWork {
+		return max(w.other.Estimate(), w.member.Estimate())
+	}
+	return w.of(kind).Estimate()
+}
+
+// Usual returns the time of the requests that the servers are there for: those of an object at its servers, or without any those that
+// concern no object.
+func (w *WorkTimes) Usual() time.Duration {
+	if t := w.member.Estimate(); t > 0 {
+		return t
+	}
+	return w.plain.Estimate()
+}
+
 // Distance is the shortest time in which a connection to a server of a region was opened, which is about one round trip. It is
 // safe for concurrent use.
 type Distance struct {
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"azurebridge/coordination/overload"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -55,10 +56,13 @@
 	Distance *Distance
 }
 
-// Counters are the retry budget and the service time of a service. They are retained as long as the process runs.
+// Counters are the retry budget and the estimates of a service. They are retained as long as the process runs.
 type Counters struct {
 	Budget quota.RetryBudget
 	Time   ServiceTime
+	Work     WorkTimes
+	Objects  ObjectShares
+	Pressure overload.Pressure
 }
 
 // Server is a backend server that may get requests.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -27,6 +27,21 @@
 	Tried    []state.BackendName
 	TimeLeft time.Duration  // time left until the deadline of the response
 	Random   func() float64 // random number from 0 (included) to 1 (excluded)
+
+	// OverloadControl turns on the choice among more servers under load (spread.go) and admission by value. The fields below are
+	// used with it only.
+	OverloadControl bool
+	Priority        int           // of the request: its customer's or its route's; 0 is the most urgent
+	Retry           bool          // this instance has sent the request before
+	Waited          time.Duration // since the request arrived at this instance
+}
+
+// Choice is the server for a request.
+type Choice struct {
+	Server *catalog.Server
+	Kind   catalog.WorkKind // what the server probably has cached
+	// RetryAfter is the time until the queues that led to a refusal have drained, spread at random; 0 for any other outcome.
+	RetryAfter time.Duration
 }
 
 // Reason says why no server was chosen. It is Chosen if one was.
@@ -39,13 +54,23 @@
 	Paused            // the remaining servers have asked for no requests for a time
 	Limited           // the remaining servers are cold or name a limit, and must get no more requests for now
 	Overloaded        // every considered server is expected to answer too late; see serversPerObject
+
+	// Refused by package overload.
+	Hopeless
+	Late
+	LessUrgent
+	Displacing
 )
 
 // String returns the reason's name in log lines.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no-servers", "exhausted", "paused", "limited", "overloaded"}[r]
+	return [...]string{"chosen", "no-servers", "exhausted", "paused", "limited", "overloaded", "hopeless", "late",
+		"less-urgent", "displacing"}[r]
 }
 
+// OfOverload reports whether the request was refused for lack of capacity or time.
+func (r Reason) OfOverload() bool { return r >= Overloaded }
+
 // Parameters of the choice. Utilization is measured in requests per slot.
 const (
 	// serversPerObject is the number of servers, first in an object's order, that share its requests. More would balance the
@@ -68,16 +93,35 @@
 // Choose returns a server for the request, or nil and the reason. Choosing a server that is cold or names a limit counts against
 // the pace of requests to it.
 func Choose(v *catalog.View, r *Request, now state.Instant) (*catalog.Server, Reason) {
+	c, reason := Place(v, r, now)
+	return c.Server, reason
+}
+
+// Place is as Choose, and also says what the server probably has cached, and when a refused caller should return.
+func Place(v *catalog.View, r *Request, now state.Instant) (Choice, Reason) {
 	s := v.Services[r.Service]
 	if s == nil {
-		return nil, NoServers
+		return Choice{}, NoServers
 	}
 	usable, reason := candidates(s, r, now)
 	if len(usable) == 0 {
-		return nil, reason
+		return Choice{}, reason
 	}
 	localWeight := r.localWeight(s)
 	sortCandidates(usable, r, localWeight)
+	if r.OverloadControl && !r.Bulk {
+		return placeSpread(s, r, usable, localWeight, now)
+	}
+	server, reason := chooseFirst(s, r, usable, localWeight, now)
+	kind := catalog.MemberWork
+	if r.Object == "" || r.Bulk {
+		kind = catalog.PlainWork
+	}
+	return Choice{Server: server, Kind: kind}, reason
+}
+
+// chooseFirst examines the first serversPerObject candidates, or all of them for a bulk request.
+func chooseFirst(s *catalog.Service, r *Request, usable []candidate, localWeight float64, now state.Instant) (*catalog.Server, Reason) {
 	serviceTime := s.Time.Estimate()
 	maxTime := r.maxExpectedTime(serviceTime)
 	if displaced(s, r, usable[0], localWeight, now) {
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -23,6 +23,8 @@
 	Store     netip.AddrPort
 	Regions   map[state.DomainName]state.RegionName
 	Limits    FrontLimits
+	// OverloadControl is whether objects are spread over more servers under load, and requests are admitted by value.
+	OverloadControl bool
 	LogLevel  string
 }
 
@@ -111,6 +113,7 @@
 		StrictRevocation: s.Bool("strict_revocation", false),
 		RevokeAfter:      s.Duration("revoke_after", defaultRevokeAfter, 0, maxDuration),
 	}
+	out.OverloadControl = f.Section("overload").Bool("enabled", true)
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
 	}
--- a/protocol/settings/front_test.go
+++ b/protocol/settings/front_test.go
@@ -145,3 +145,15 @@
 		})
 	}
 }
+
+// Guards against overload control that is off where no setting asks for that, and against one that cannot be turned off.
+func TestOverloadControlIsOnUnlessDisabled(t *testing.T) {
+	g := NewWithT(t)
+	for section, want := range map[string]bool{"": true, "[overload]\n": true, "[overload]\nenabled = false\n": false} {
+		f, err := inifile.Parse("front.ini", []byte(frontFile+section))
+		g.Expect(err).NotTo(HaveOccurred())
+		cfg, err := parseFront(f)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(cfg.OverloadControl).To(Equal(want), section)
+	}
+}
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -37,6 +36,7 @@
 	service := q.view.Services[q.service]
 	if service != nil {
 		service.Budget.RecordRequest(q.arrived, *q.m.retry.Load())
+		q.recordArrival(service)
 	}
 	var failure *backendconn.Answer // a server's own failure, forwarded when no other server answers
 	for range maxTries {
@@ -88,13 +88,13 @@
 		}
 	}
 	q.view = m.opts.Loop.View()
-	wanted := &placement.Request{
-		Service: q.service, Object: q.affinityKey(), Route: q.route, Customer: q.customer, Region: m.opts.Region,
-		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Random: rand.Float64, TimeLeft: q.timeLeft(),
-	}
-	server, reason := placement.Choose(q.view, wanted, now)
+	wanted := q.wanted(now)
+	choice, reason := placement.Place(q.view, wanted, now)
+	server := choice.Server
+	q.kind = choice.Kind
 	if server == nil {
-		q.lastOutcome, q.retryAfter = reason.String(), placement.RetryAfter(q.view, wanted, now)
+		q.lastOutcome, q.retryAfter = reason.String(), max(choice.RetryAfter, placement.RetryAfter(q.view, wanted, now))
+		q.recordRefusal(reason, now)
 		return nil, false
 	}
 	if q.sent > 0 {
@@ -178,9 +178,7 @@
 	out := reply{a, took}
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
-		if a.Slowness > 0 {
-			server.Gauge.ReportSlowness(now, a.Slowness)
-		}
+		q.recordLoad(server, a.Marks, now)
 	}
 	if a.Connect > 0 {
 		server.Distance.Record(a.Connect)
@@ -188,7 +186,7 @@
 	q.recordSignals(server, a.Marks, now)
 	q.recordLimit(server, a.Marks, start, now)
 	if out.acceptable() && !a.NotRun {
-		q.view.Services[q.service].Time.Record(took, server.Gauge.Load(now), server.Slots)
+		q.recordWork(server, took, now)
 	}
 	outcome := catalog.Answered
 	switch {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -53,8 +53,10 @@
 	Retry   quota.RetryLimit
 	// MaxKeyAge is the age of the instance's knowledge of the store above which requests with a key are refused; 0 for none.
 	MaxKeyAge time.Duration
-	Log       hclog.Logger
-	Metrics   metrics.Registry
+	// OverloadControl is whether objects are spread over more servers under load, and requests are admitted by value.
+	OverloadControl bool
+	Log             hclog.Logger
+	Metrics         metrics.Registry
 	// OnLimitEnd is called when a backend server names no limit any more. It must not block.
 	OnLimitEnd func(catalog.LimitEnded)
 	// Admit decides whether a request of a customer is within its quota, and waits at most the given time. Nil admits all.
@@ -71,6 +73,7 @@
 	opts      Options
 	retry     atomic.Pointer[quota.RetryLimit]
 	maxKeyAge atomic.Int64 // time.Duration; 0 for none
+	overload  atomic.Bool  // overload control is on
 	sizes     *answerSizes
 	log       *decisionLog
 	latencies *latencies
@@ -110,6 +113,13 @@
 	NoMemory   atomic.Uint64
 	SlowBodies atomic.Uint64 // answered 408: the caller sent nothing of the body for too long
 	InService  atomic.Int64  // requests in progress
+
+	// Tries that were refused before they were sent, by reason; see package overload.
+	RefusedOverloaded atomic.Uint64
+	RefusedHopeless   atomic.Uint64
+	RefusedLate       atomic.Uint64
+	RefusedLessUrgent atomic.Uint64
+	RefusedDisplacing atomic.Uint64
 }
 
 // New returns a Manager.
@@ -117,6 +127,7 @@
 	m := &Manager{opts: opts, sizes: newAnswerSizes(), log: newDecisionLog(opts.Log), latencies: newLatencies(opts.Metrics)}
 	m.ApplyRetryLimit(opts.Retry)
 	m.ApplyMaxKeyAge(opts.MaxKeyAge)
+	m.ApplyOverloadControl(opts.OverloadControl)
 	return m
 }
 
@@ -126,6 +137,9 @@
 // ApplyMaxKeyAge changes Options.MaxKeyAge.
 func (m *Manager) ApplyMaxKeyAge(age time.Duration) { m.maxKeyAge.Store(int64(age)) }
 
+// ApplyOverloadControl turns overload control on or off.
+func (m *Manager) ApplyOverloadControl(enabled bool) { m.overload.Store(enabled) }
+
 // ServeHTTP forwards one request and writes its answer.
 func (m *Manager) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.Stats.Requests.Add(1)
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -42,11 +42,12 @@
 	body        []byte          // whole, or its first maxBufferedBody bytes
 	rest        io.Reader       // the body after those bytes; nil when body is whole
 	tried       []state.BackendName
-	sent        int           // times that a backend server got or may have got the request
-	ran         bool          // the request has run or may have run
-	admission   admission     // by the last look-up of the customer
-	lastOutcome string        // outcome of the last exchange, or why there was no further one
-	retryAfter  time.Duration // when a refused caller should return; 0 until placement has found no server
+	kind        catalog.WorkKind // what the server of the current try probably has cached
+	sent        int              // times that a backend server got or may have got the request
+	ran         bool             // the request has run or may have run
+	admission   admission        // by the last look-up of the customer
+	lastOutcome string           // outcome of the last exchange, or why there was no further one
+	retryAfter  time.Duration    // when a refused caller should return; 0 until placement has found no server
 }
 
 // readBody reads the body, or its first maxBufferedBody bytes. It answers and returns false when the request exceeds a limit,
