--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -113,7 +113,7 @@
 		StrictRevocation: s.Bool("strict_revocation", false),
 		RevokeAfter:      s.Duration("revoke_after", defaultRevokeAfter, 0, maxDuration),
 	}
-	out.OverloadControl = f.Section("overload").Bool("enabled", true)
+	out.OverloadControl = f.Section("overload").Bool("enabled", false)
 	if _, ok := out.Regions[out.Domain]; !ok && len(out.Regions) > 0 {
 		f.Section("instance").Problem("domain", "has no section [domain "+string(out.Domain)+"]")
 	}
