--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +35,7 @@
 // Marks holds what an answer's headers state about it.
 type Marks struct {
 	RequestID   string // of the request that it answers; empty when the headers state none
+	Ambiguous   bool   // the headers state two IDs of requests
 	Signed      bool   // the server has marked the answer as its own
 	NotRun      bool   // the server did not run the request
 	WrongServer bool   // the address belongs to a server other than the intended one
@@ -76,6 +76,9 @@
 // ErrWithdrawn is the cause of a failure whose request was withdrawn before anything was sent.
 var ErrWithdrawn = errors.New("request withdrawn")
 
+// errEarlyBytes means that the server has sent bytes on a new connection, or closed it, before the request was sent.
+var errEarlyBytes = errors.New("bytes or the end of the connection before the request was sent")
+
 // errUnnamedAnswer means that an answer on a connection that has carried other requests does not name the one it answers.
 var errUnnamedAnswer = errors.New("the answer names no request, and the connection has carried others")
 
@@ -88,6 +91,11 @@
 	Rest   io.ReadCloser // the rest of a body that is larger than MaxBuffered, or than the memory that is left
 	// Connect is how long it took to open the connection; 0 when one was reused.
 	Connect time.Duration
+	// Sending is closed when the rest of the request's body has been sent or given up, which the caller's connection is needed for;
+	// nil when it is not needed. The server has answered early then.
+	Sending <-chan struct{}
+	// Unsent is closed when the request's body is no longer needed; nil when it is not needed any more.
+	Unsent <-chan struct{}
 }
 
 // Failure is an exchange without a whole answer.
@@ -123,6 +131,11 @@
 		return nil, &Failure{Step: "send to", Peer: r.Address, Err: ErrWithdrawn}
 	}
 	reused := c.used
+	if !reused && c.readable() { // of one that is reused, usable has checked it
+		c.Close()
+		return nil, &Failure{Step: "send to", Peer: r.Address, Err: errEarlyBytes}
+	}
+	c.remember(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &exchange{pool: p, key: key, conn: c, dialect: d, request: r, stop: stop}
 	a, err := x.run()
@@ -150,6 +163,9 @@
 	dialect Dialect
 	request *Request
 	stop    func() bool // detaches the connection from ctx; false when ctx has already ended
+	body    *longBody   // nil for a short body
+	// inMemory is the size of a body that is counted in Pool.trailingBytes.
+	inMemory int64
 }
 
 // failure returns an error with the failed step and whether bytes of the request were sent.
@@ -159,11 +175,17 @@
 
 // run sends the request and reads the answer, or its first bytes when its body is larger than MaxBuffered.
 func (x *exchange) run() (*Answer, error) {
-	if x.request.hasLongBody() {
-		go x.writeLong()
-	} else if n, err := x.conn.Write(append(x.request.Head, x.request.Body...)); err != nil {
+	long := x.request.hasLongBody()
+	first := x.request.Head // sent before the answer is read: what arrives earlier is no answer
+	if !long {
+		first = append(first, x.request.Body...)
+	}
+	if n, err := x.conn.Write(first); err != nil {
 		return nil, x.failure("send to", n > 0, err)
 	}
+	if long {
+		x.body = startLongBody(x.conn, x.request)
+	}
 	resp, marks, err := x.readHead()
 	if err != nil {
 		return nil, err
@@ -172,6 +194,8 @@
 	if err := x.readBody(a, resp); err != nil {
 		return nil, x.failure("read answer of", true, err)
 	}
+	a.NotRun = a.NotRun && x.provesNotRun(resp, marks, a.Rest == nil)
+	a.Sending, a.Unsent = x.sending(resp), x.unsent(resp)
 	if a.Rest != nil {
 		return a, nil
 	}
@@ -179,50 +203,15 @@
 	return a, nil
 }
 
-// hasLongBody reports whether the body is written while the answer is read.
-func (r *Request) hasLongBody() bool { return r.Rest != nil || len(r.Body) > maxShortBody }
-
-// writeLong writes a request with a long body while the answer is read. A failure on the server's side also ends the reading,
-// so that only an error on the caller's side has to close the connection here.
-func (x *exchange) writeLong() {
-	source := &bodySource{Reader: bytes.NewReader(x.request.Body)}
-	if x.request.Rest != nil {
-		source.Reader = io.MultiReader(source.Reader, x.request.Rest)
-	}
-	if _, err := x.conn.Write(x.request.Head); err != nil {
-		return
-	}
-	if !x.request.Chunked {
-		_, _ = io.Copy(x.conn, source)
-	} else if chunks := httputil.NewChunkedWriter(x.conn); copyAll(chunks, source) {
-		_, _ = io.WriteString(x.conn, "\r\n")
-	}
-	if source.err != nil {
-		x.conn.Close()
-	}
-}
-
-// copyAll copies a body and closes the writer. It returns false when either fails.
-func copyAll(w io.WriteCloser, r io.Reader) bool {
-	if _, err := io.Copy(w, r); err != nil {
-		return false
-	}
-	return w.Close() == nil
-}
-
-// bodySource records an error on the caller's side, which io.Copy does not distinguish from one on the server's side.
-type bodySource struct {
-	io.Reader
-	err error
+// provesNotRun reports whether a rejection is complete and authentic: it names the request, unless the address belongs to another
+// server, and its length is known, so that it cannot have been cut off unnoticed.
+func (x *exchange) provesNotRun(resp *http.Response, marks Marks, whole bool) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || x.request.NoBody
+	return whole && framed && (marks.WrongServer || marks.RequestID == x.request.ID)
 }
 
-func (s *bodySource) Read(b []byte) (int, error) {
-	n, err := s.Reader.Read(b)
-	if err != io.EOF {
-		s.err = err
-	}
-	return n, err
-}
+// hasLongBody reports whether the body is written while the answer is read.
+func (r *Request) hasLongBody() bool { return r.Rest != nil || len(r.Body) > maxShortBody }
 
 // readHead reads the head of the answer to this request. It skips informational answers and late answers to earlier requests.
 func (x *exchange) readHead() (*http.Response, Marks, error) {
@@ -239,6 +228,9 @@
 			continue
 		}
 		marks := x.dialect.Inspect(resp.Header, resp.StatusCode)
+		if marks.Ambiguous {
+			return nil, Marks{}, x.failure("read answer of", true, errors.New("the answer names two requests"))
+		}
 		if marks.RequestID == x.request.ID || marks.RequestID == "" && !x.conn.used {
 			return resp, marks, nil
 		}
@@ -255,13 +247,20 @@
 	return nil, Marks{}, x.failure("read answer of", true, errors.New("too many informational answers or answers to other requests"))
 }
 
-// release returns the connection to the pool when the server keeps it open. After a request with a long body it closes the
-// connection: the server may have answered without having read all of the body.
+// release returns the connection to the pool when the server keeps it open. After a request with a long body the connection is
+// closed, once the body has been sent: the server may have answered without having read all of it.
 func (x *exchange) release(resp *http.Response) {
 	if !x.stop() {
+		if x.body != nil {
+			x.endBody()
+		}
 		return // ctx has ended, which closes the connection
 	}
-	if x.request.hasLongBody() || resp.Close || x.conn.reader.Buffered() > 0 {
+	if x.body != nil {
+		x.finishBody(resp.StatusCode)
+		return
+	}
+	if resp.Close || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
 	}
@@ -269,14 +268,30 @@
 	x.pool.put(x.key, x.conn)
 }
 
-// restReader streams the rest of a large answer. Close closes the connection.
+// restReader streams the rest of a large answer. Close closes the connection, after a whole answer once the request's body has been
+// sent.
 type restReader struct {
 	io.Reader
-	x *exchange
+	x     *exchange
+	resp  *http.Response
+	whole bool
+}
+
+func (r *restReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.whole = r.whole || err == io.EOF
+	return n, err
 }
 
 func (r *restReader) Close() error {
+	if r.x.body != nil && r.whole {
+		r.x.release(r.resp)
+		return nil
+	}
 	r.x.stop()
+	if r.x.body != nil {
+		r.x.endBody()
+	}
 	return r.x.conn.Close()
 }
 
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -73,6 +73,7 @@
 	Displaced    atomic.Uint64 // idle connections closed for new ones, because MaxConns were open
 	Crowded      atomic.Uint64 // new connections closed for lack of memory, or because MaxConns were open and in use
 	NoMemory     atomic.Uint64 // requests refused for lack of memory for their head
+	LeftInBody   atomic.Uint64 // connections whose caller left before the end of a body that was not being read
 	Malformed    atomic.Uint64 // requests that could not be read
 	Ahead        atomic.Uint64 // requests taken up while an earlier one of their connection was in progress
 	Held         atomic.Uint64 // requests that waited for an earlier one because of MaxAhead or the bound of the connection
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -176,6 +176,7 @@
 		q.sent++
 	}
 	out := reply{a, took}
+	q.unsent = a.Unsent
 	if a.HasLoad {
 		server.Gauge.Report(now, a.Running+a.Waiting)
 		q.recordLoad(server, a.Marks, now)
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -40,6 +40,7 @@
 	timeout     time.Duration   // from arrival to the final answer
 	hold        *membudget.Hold // memory of the request and its answer; nil sets no bound
 	body        []byte          // whole, or its first maxBufferedBody bytes
+	unsent      <-chan struct{} // until when body is still sent after the server's answer; nil when it is not
 	rest        io.Reader       // the body after those bytes; nil when body is whole
 	tried       []state.BackendName
 	kind        catalog.WorkKind // what the server of the current try probably has cached
--- a/transport/metastore/registrar.go
+++ b/transport/metastore/registrar.go
@@ -19,6 +19,9 @@
 	// renewInterval lets the lease survive two lost renewals.
 	renewInterval = 1100 * time.Millisecond
 	callTimeout   = 800 * time.Millisecond
+	// maxUnlisted is the number of renewals after which an entry that the instance does not see is written again: it usually sees
+	// its own entry within one.
+	maxUnlisted = 3
 )
 
 // Registrar keeps this instance's entry in the store while the instance accepts requests. Its regular calls also detect an
@@ -29,18 +32,24 @@
 	contact  *Contact
 	regained func() // called when the store answers again after a failure
 	log      hclog.Logger
+	listed   func() bool // whether the instance sees its own entry; may be nil
+	unlisted int         // renewals in a row at which it did not
 
 	mu      sync.Mutex
 	lease   LeaseID // number 0 without one
 	stopped bool
 }
 
-// NewRegistrar returns a Registrar; Run starts it. It sends catalog.StoreLost to sink when the store stops answering, marks
-// contact at each answer, and calls regained when the store answers again.
+// NewRegistrar returns a Registrar; Run starts it. It sends catalog.StoreLost to sink when the store stops answering and
+// catalog.LeaseRenewed while it answers, marks contact at each answer, and calls regained when the store answers again.
 func NewRegistrar(store Store, sink EventSink, contact *Contact, regained func(), log hclog.Logger) *Registrar {
 	return &Registrar{store: store, sink: sink, contact: contact, regained: regained, log: log}
 }
 
+// CheckListed has the entry written again when listed reports for maxUnlisted renewals that the instance does not see it: a late write
+// of an earlier process of the same name may have bound it to a lease that has expired since. Call it before Run.
+func (r *Registrar) CheckListed(listed func() bool) { r.listed = listed }
+
 // Run registers the instance and renews its lease until ctx ends or Leave is called.
 func (r *Registrar) Run(ctx context.Context) {
 	registered, storeLost := false, false
@@ -51,12 +60,15 @@
 		}
 		answered := err == nil || errors.Is(err, ErrNoLease)
 		if answered {
-			r.contact.Mark()
+			r.contact.MarkCall()
 		}
 		switch {
 		case answered && storeLost:
 			storeLost = false
 			r.regained()
+		case answered:
+			// Not at the first answer after a failure: the listing that it requests shows first which servers have registered again.
+			r.sink.Send(ctx, catalog.LeaseRenewed{})
 		case !answered && !storeLost:
 			storeLost = true
 			r.sink.Send(ctx, catalog.StoreLost{})
@@ -71,23 +83,30 @@
 	}
 }
 
-// renewOrRegister renews the lease of a registered instance. Otherwise it creates a lease and registers the instance under it.
+// renewOrRegister renews the lease, and registers the instance under it unless it is registered. A lease under which the entry could
+// not be written is used again as long as it lasts: the write may be carried out late, and would bind the entry to a lease that
+// nobody renews. The store rejects writes under a lease that has ended.
 func (r *Registrar) renewOrRegister(ctx context.Context, registered *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if *registered {
-		err := r.store.Renew(ctx, r.lease)
+	lease := r.lease
+	if lease.Number != 0 {
+		err := r.store.Renew(ctx, lease)
 		if errors.Is(err, ErrNoLease) {
 			*registered = false
+			r.setLease(LeaseID{})
+		}
+		if err != nil || *registered && !r.isUnlisted() {
+			return err
+		}
+	} else {
+		var err error
+		if lease, _, err = r.store.Grant(ctx, EntryTTL); err != nil {
+			return err
+		}
+		if !r.setLease(lease) {
+			return r.store.Revoke(ctx, lease)
 		}
-		return err
-	}
-	lease, _, err := r.store.Grant(ctx, EntryTTL)
-	if err != nil {
-		return err
-	}
-	if !r.setLease(lease) {
-		return r.store.Revoke(ctx, lease)
 	}
 	if err := r.store.Register(ctx, lease); err != nil {
 		return err
@@ -97,6 +116,20 @@
 	return nil
 }
 
+// isUnlisted reports whether the instance has not seen its own entry for maxUnlisted renewals.
+func (r *Registrar) isUnlisted() bool {
+	if r.listed == nil || r.listed() {
+		r.unlisted = 0
+		return false
+	}
+	r.unlisted++
+	if r.unlisted < maxUnlisted {
+		return false
+	}
+	r.unlisted = 0
+	return true
+}
+
 // setLease stores the lease. It returns false when Leave has been called meanwhile.
 func (r *Registrar) setLease(lease LeaseID) bool {
 	r.mu.Lock()
