quota: an owner that restarts while it is listed issues permits at once

After a power loss of all or a kill of many instances, each new process issued nothing for 3 s, and a request for permits before its first list counted as a fraction of 0 for 3 s more. Such a process has been an owner all along when its first list has its entry, so that its empty bucket fills from then on. An owner that does not issue yet says that it is no owner, so that the next one is asked and own shares apply.

--- a/coordination/catalog/listing.go
+++ b/coordination/catalog/listing.go
@@ -11,6 +11,7 @@
 	if !c.advance(ev.Source, c.revision, ev.Revision) {
 		return
 	}
+	c.beginIssuer(now, ev)
 	if restored {
 		c.applyRestored(now, ev.Items)
 		return
--- a/coordination/catalog/permits.go
+++ b/coordination/catalog/permits.go
@@ -38,6 +38,16 @@
 	c.issuer.Update(now, basis.bound, c.listed, c.table.Customers)
 }
 
+// beginIssuer tells the issuer whether the first listing has an entry of an earlier process of this instance. The instance registers
+// only when it has a table, which comes with a listing.
+func (c *Core) beginIssuer(now state.Instant, ev Listed) {
+	listed := slices.ContainsFunc(ev.Items, func(it Item) bool {
+		p, ok := it.Fact.(*routing.Peer)
+		return ok && p.Name == c.opts.Self
+	})
+	c.issuer.Begin(now, listed, ev.Source == FromListing)
+}
+
 // stepIssuer applies an event about permits.
 func (c *Core) stepIssuer(now state.Instant, ev Event) {
 	switch ev := ev.(type) {
--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -18,7 +18,8 @@
 // Times of an issuer.
 const (
 	// takeOverDelay is how long an instance that becomes an owner, or whose share grows, issues nothing more: until then an
-	// earlier owner may not know the change. Instances in contact know each change within that time.
+	// earlier owner may not know the change. Instances in contact know each change within that time. An instance that restarts while
+	// it is listed has been an owner all along and does not wait.
 	takeOverDelay = 3 * time.Second
 	// apartAfter is the time without an answer of the store after which an instance may soon be missing from the lists of the
 	// others. It is shorter than the lease of an instance's entry.
@@ -34,6 +35,7 @@
 	settleTime = 10 * time.Second
 	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
 	recentSlots = 7
+	slotLength  = takeOverDelay / (recentSlots - 1)
 )
 
 // Ask is a request for permits.
@@ -48,7 +50,7 @@
 type Granted struct {
 	ID         uint64
 	Count      int
-	NotOwner   bool // the instance is no owner of the customer
+	NotOwner   bool // the instance is no owner of the customer, or does not issue permits for it yet
 	RetryAfter time.Duration
 }
 
@@ -66,6 +68,8 @@
 	peak      int // highest number of instances within leftRetention
 	peakAt    state.Instant
 	contactAt state.Instant // first answer of the store; 0 before
+	begun     bool          // a list of instances is known
+	relisted  bool          // the first list had an entry of an earlier process of this instance, and it is the one in force
 	buckets   map[state.CustomerName]*bucket
 	heard     map[state.InstanceName]state.Instant
 	slot      int64 // number of the newest slot
@@ -74,6 +78,7 @@
 	// Broken variants for tests.
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
+	skipWait  bool // buckets of a new process do not wait, though another instance may have been the owner
 }
 
 // bucket is a token bucket for one customer.
@@ -98,6 +103,21 @@
 	return i
 }
 
+// Begin applies the first list of instances that a process knows, before it registers. With an entry in it, the instance is still
+// the owner that its earlier process was: no other instance has taken over, so that new buckets need not wait. They are empty, as
+// what the earlier process has issued is not known: both together then issue what one bucket would. A list that is not from the store
+// may be old. Then the fraction in force grows from 0 like that of a side that grows.
+func (i *Issuer) Begin(now state.Instant, listed, fromStore bool) {
+	if i.begun {
+		return
+	}
+	i.begun, i.relisted = true, listed
+	if listed && !fromStore {
+		i.fraction, i.recent = 0, [recentSlots]float64{}
+		i.slot = int64(now) / int64(slotLength)
+	}
+}
+
 // Update applies a list of instances and the customers of a routing table. Buckets of customers that the instance is no owner of any
 // more are dropped; new ones are empty.
 func (i *Issuer) Update(now state.Instant, bound CustomerBound, peers []routing.Peer, customers []routing.Customer) {
@@ -120,6 +140,9 @@
 		share := 1 / float64(len(owners))
 		if b == nil {
 			b = &bucket{share: share, at: now.Add(takeOverDelay)}
+			if i.relisted || i.skipWait {
+				b.at = now
+			}
 			if i.fullStart {
 				b.at, b.quota = now, c.Quota
 				b.level = bound.issued(c.Quota) * share
@@ -130,6 +153,7 @@
 		kept[c.Name] = b
 	}
 	i.buckets = kept
+	i.relisted = i.relisted && len(customers) == 0 && containsPeer(peers, i.self) // later buckets are new
 	i.settleAll(now)
 }
 
@@ -148,8 +172,10 @@
 
 // Tick takes into account how long ago the store last answered. It is due at least each half second.
 func (i *Issuer) Tick(now state.Instant, away time.Duration) {
+	if len(i.peers) == 0 {
+		return // no bucket, and a fraction of 0 would count for takeOverDelay after the first list
+	}
 	fraction := i.sideFraction(now, away)
-	const slotLength = takeOverDelay / (recentSlots - 1)
 	number := int64(now) / int64(slotLength)
 	for ; i.slot < number; i.slot++ {
 		if number-i.slot > recentSlots {
@@ -168,9 +194,6 @@
 
 // sideFraction returns the part of all instances that this one's side of a possible partition has at least.
 func (i *Issuer) sideFraction(now state.Instant, away time.Duration) float64 {
-	if len(i.peers) == 0 {
-		return 0
-	}
 	if i.wholeSide {
 		return 1
 	}
@@ -234,6 +257,9 @@
 	if b == nil {
 		return Granted{ID: ask.ID, NotOwner: true}
 	}
+	if now.Before(b.at) {
+		return Granted{ID: ask.ID, NotOwner: true}
+	}
 	i.settle(now, b)
 	count := min(ask.Count, MaxBatch, int(b.level))
 	if count <= 0 {
--- a/coordination/quota/permit_test.go
+++ b/coordination/quota/permit_test.go
@@ -24,7 +24,7 @@
 // disturb changes one thing at random.
 func (s *permitSim) disturb() {
 	i := s.instances[s.random.IntN(len(s.instances))]
-	switch s.random.IntN(12) {
+	switch s.random.IntN(15) {
 	case 0: // an owner or another instance ends, and returns later
 		s.kill(i)
 		s.after(s.upTo(8*time.Second), func() { s.restart(i) })
@@ -77,7 +77,25 @@
 		for _, i := range s.instances {
 			i.weight = 0.05 + s.random.ExpFloat64()
 		}
-	case 11: // a quota changes
+	case 11: // many instances are killed at once and restart, some of them twice
+		for _, i := range s.instances {
+			if s.random.IntN(2) == 0 {
+				s.kill(i)
+				s.after(s.upTo(time.Second), func() { s.restart(i) })
+				if s.random.IntN(2) == 0 {
+					s.after(time.Second+s.upTo(3*time.Second), func() { s.kill(i); s.restart(i) })
+				}
+			}
+		}
+	case 12:
+		s.rollingRestart(len(s.instances)/2, 1+s.random.IntN(6), s.upTo(2*time.Second))
+	case 13: // the owners restart one after the other while the store does not answer
+		s.storeAway = true
+		s.after(s.upTo(12*time.Second), func() { s.storeAway = false })
+		for n, o := range s.bound.Owners(&s.customers[0], s.list()) {
+			s.after(time.Duration(n)*s.upTo(2*time.Second), func() { s.kill(s.byName[o.Name]); s.restart(s.byName[o.Name]) })
+		}
+	case 14: // a quota changes
 		c := s.random.IntN(2)
 		old := s.customers[c].Quota
 		s.customers = append([]routing.Customer(nil), s.customers...)
@@ -110,6 +128,8 @@
 func TestCustomersStayUnderTheirQuotas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newPermitSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 40).Draw(t, "instances"), rapid.IntRange(1, 4).Draw(t, "regions"), simCustomers())
+		s.fastStart = rapid.Bool().Draw(t, "fast start")
+		s.retries = rapid.Bool().Draw(t, "retries")
 		faults := rapid.Float64Range(0.2, 4).Draw(t, "seconds between faults")
 		s.startAll()
 		factor := rapid.SampledFrom([]float64{1, 2, 7}).Draw(t, "factor")
@@ -139,6 +159,7 @@
 	}{
 		{"owners that start with a full share", 18, func(s *permitSim) { s.fullStart = true }, restartingOwners},
 		{"permits that never end", 150, func(s *permitSim) { s.keepForever = true }, wanderingDemand},
+		{"new owners that do not wait", 108, func(s *permitSim) { s.skipWait = true }, joiningOwners},
 		{"owners that ignore partitions", 18, func(s *permitSim) { s.wholeSide = true }, partitions},
 	} {
 		found := 0
@@ -180,6 +201,36 @@
 	return s.broken
 }
 
+// joiningOwners starts instances with wider and wider links, which become the owners in place of running ones, while the large
+// customer sends 7 times its usual demand. Half of the others learn of each change early, half late.
+func joiningOwners(s *permitSim) string {
+	first := len(s.instances) / 2
+	for n, i := range s.instances {
+		i.listDelay = simListDelay * 3 / 4
+		if n < first && n%2 == 0 {
+			i.listDelay = time.Millisecond
+		}
+	}
+	for _, i := range s.instances[:first] {
+		s.start(i)
+	}
+	s.fastStart = true
+	s.run(10 * time.Second)
+	s.state[0].demand *= 7
+	s.load(0, s.now.Add(time.Minute))
+	for link := 100; first < len(s.instances); link *= 50 {
+		for _, i := range s.instances[first : first+maxOwners] {
+			i.peer.LinkMbps = link
+			s.start(i)
+		}
+		first += maxOwners
+		if broken := s.run(1200 * time.Millisecond); broken != "" {
+			return broken
+		}
+	}
+	return s.run(5 * time.Second)
+}
+
 // wanderingDemand moves all requests of the large customer from instance to instance, and then spreads them over all.
 func wanderingDemand(s *permitSim) string {
 	s.startAll()
--- a/coordination/quota/permitsim_test.go
+++ b/coordination/quota/permitsim_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -58,8 +59,9 @@
 	version   int           // of customers
 	answered  state.Instant // last answer of the store
 	apartTill state.Instant
-	side      int  // of a partition
-	noStore   bool // cut off from the store only
+	side      int           // of a partition
+	noStore   bool          // cut off from the store only
+	listDelay time.Duration // until it applies a list that it has read; 0 for a random one, simListDelay*3/4 at most
 	weight    float64
 	next      int // whom the next sign of life goes to
 	messages  int // sent and received
@@ -72,6 +74,7 @@
 	arrived []state.Instant
 	asked   int // requests of callers
 	refused int
+	down    int     // part of refused at instances that did not run or had no routing table
 	peak    float64 // highest part of the bound that was used
 }
 
@@ -100,13 +103,15 @@
 	storeAway bool
 	loss      float64
 	slow      bool // datagrams take up to 300 ms
+	retries   bool // callers send a refused request once more
+	fastStart bool // a new process knows a list within 200 ms
 	broken    string
 	messages  int
 	listed    []routing.Peer      // last result of list
 	pick      func() *simInstance // replaces weighted
 	expired   atomic.Uint64
 	// Broken variants.
-	fullStart, keepForever, wholeSide bool
+	fullStart, keepForever, wholeSide, skipWait bool
 }
 
 func newPermitSim(seed uint64, instances, regions int, customers []routing.Customer) *permitSim {
@@ -144,7 +149,7 @@
 	s.processes++
 	i.process = s.processes
 	i.issuer = NewIssuer(i.peer.Name)
-	i.issuer.fullStart, i.issuer.wholeSide = s.fullStart, s.wholeSide
+	i.issuer.fullStart, i.issuer.wholeSide, i.issuer.skipWait = s.fullStart, s.wholeSide, s.skipWait
 	i.holders, i.peers, i.answered, i.customers, i.version, i.seen = nil, nil, 0, nil, 0, 0
 	i.list = PeerList{}
 	for range s.customers {
@@ -154,13 +159,23 @@
 	}
 	process := i.process
 	s.every(i, process, simRenewal, func() {
-		if s.inContact(i) {
+		if s.inContact(i) && i.seen > 0 { // an instance registers when it has a table
 			s.leases[i.peer.Name], i.answered = s.now.Add(simLease), s.now
 		}
 	})
+	if s.fastStart {
+		s.after(s.upTo(200*time.Millisecond), func() {
+			if i.process == process {
+				s.firstList(i)
+			}
+		})
+	}
 	// A change of the list takes up to simListDelay to an instance: it reads the list and applies it later.
 	s.every(i, process, simListDelay/4, func() {
 		if !s.inContact(i) {
+			if i.seen == 0 {
+				s.askPeer(i)
+			}
 			return
 		}
 		i.answered = s.now
@@ -168,8 +183,9 @@
 			return
 		}
 		list, customers, version := s.list(), slices.Clone(s.customers), s.version
-		s.after(s.upTo(simListDelay/2), func() {
+		s.after(cmp.Or(i.listDelay, s.upTo(simListDelay/2)), func() {
 			if i.process == process {
+				i.issuer.Begin(s.now, containsPeer(list, i.peer.Name), true)
 				s.update(i, list, customers, version)
 			}
 		})
@@ -177,6 +193,42 @@
 	s.every(i, process, simReport, func() { s.report(i) })
 }
 
+// firstList gives a new process the list of the store, or of another instance when the store does not answer.
+func (s *permitSim) firstList(i *simInstance) {
+	if !s.inContact(i) {
+		s.askPeer(i)
+		return
+	}
+	i.answered = s.now
+	list := s.list()
+	i.issuer.Begin(s.now, containsPeer(list, i.peer.Name), true)
+	customers, version, process := slices.Clone(s.customers), s.version, i.process
+	s.update(i, list, customers, version)
+	s.leases[i.peer.Name] = s.now.Add(simLease)
+	registered := s.list()
+	s.after(s.upTo(100*time.Millisecond), func() {
+		if i.process == process {
+			s.update(i, registered, customers, version)
+		}
+	})
+}
+
+// askPeer gives an instance the list and the customers of another one that it reaches: of three, the one with the newest.
+func (s *permitSim) askPeer(i *simInstance) {
+	var newest *simInstance
+	for range 3 {
+		o := s.instances[s.random.IntN(len(s.instances))]
+		if o != i && o.process != 0 && o.seen > 0 && o.side == i.side && (newest == nil || newest.answered.Before(o.answered)) {
+			newest = o
+		}
+	}
+	if newest == nil {
+		return
+	}
+	i.issuer.Begin(s.now, containsPeer(newest.peers, i.peer.Name), false)
+	s.update(i, newest.peers, newest.customers, newest.version)
+}
+
 // every calls work at regular intervals while the process runs.
 func (s *permitSim) every(i *simInstance, process int, interval time.Duration, work func()) {
 	var next func()
@@ -321,19 +373,37 @@
 	c              int
 	deadline       state.Instant
 	asked, refused []state.InstanceName
+	last           bool // the caller does not try again
 }
 
 // request sends one request of a customer through an instance.
 func (s *permitSim) request(i *simInstance, c int) {
 	s.state[c].asked++
+	s.try(i, c, !s.retries)
+}
+
+// try sends a request for the first or the last time.
+func (s *permitSim) try(i *simInstance, c int, last bool) {
 	if i.process == 0 || len(i.customers) == 0 {
-		s.state[c].refused++
+		if last {
+			s.state[c].down++
+		}
+		s.refuse(c, last)
 		return
 	}
 	h := i.holders[c]
 	h.Update(&i.customers[c], Basis{Self: i.peer.Name, Region: i.peer.Region, Bound: s.bound, Peers: i.peers, PeersSeen: i.seen, Instances: len(i.peers)})
 	h.Record(s.now)
-	s.decide(&simRequest{i: i, process: i.process, c: c, deadline: s.now.Add(simWait)})
+	s.decide(&simRequest{i: i, process: i.process, c: c, deadline: s.now.Add(simWait), last: last})
+}
+
+// refuse lets the caller of a refused request send it once more, unless it is the last time.
+func (s *permitSim) refuse(c int, last bool) {
+	if last {
+		s.state[c].refused++
+		return
+	}
+	s.after(200*time.Millisecond+s.upTo(300*time.Millisecond), func() { s.try(s.weighted(), c, true) })
 }
 
 // decide makes the next step of a request, as peers.Node.Admit does.
@@ -355,7 +425,7 @@
 		if allowed, _ := h.Fallback(s.now, r.refused, s.random.Float64()); allowed {
 			s.arrive(r.c)
 		} else {
-			s.state[r.c].refused++
+			s.refuse(r.c, r.last)
 		}
 		return
 	}
@@ -473,3 +543,12 @@
 
 // kill ends the process of an instance.
 func (s *permitSim) kill(i *simInstance) { i.process = 0 }
+
+// restartPlanned ends an instance, whose entry is removed when the store answers, and starts it again.
+func (s *permitSim) restartPlanned(i *simInstance) {
+	if s.inContact(i) {
+		delete(s.leases, i.peer.Name)
+	}
+	s.kill(i)
+	s.after(300*time.Millisecond, func() { s.restart(i) })
+}
--- a/coordination/quota/permittrouble_test.go
+++ b/coordination/quota/permittrouble_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -75,3 +76,67 @@
 		}
 	}
 }
+
+// massTroubles are faults of many instances at once.
+func massTroubles() []trouble {
+	none := func(*permitSim) {}
+	return []trouble{
+		{"power loss of all for 1.2 s", func(s *permitSim) {
+			for _, i := range s.instances {
+				s.kill(i)
+				s.after(1200*time.Millisecond+s.upTo(300*time.Millisecond), func() { s.restart(i) })
+			}
+		}, none, 0.02},
+		{"55% are killed and restart within 1 s", func(s *permitSim) {
+			for n := range len(s.instances) * 55 / 100 {
+				i := s.instances[(n*7)%len(s.instances)]
+				s.kill(i)
+				s.after(500*time.Millisecond+s.upTo(500*time.Millisecond), func() { s.restart(i) })
+			}
+		}, none, 0.02},
+		{"23 restart as planned in 5 s", func(s *permitSim) { s.rollingRestart(23, 6, 1300*time.Millisecond) }, none, 0.02},
+	}
+}
+
+// rollingRestart restarts count instances as planned, some at a time.
+func (s *permitSim) rollingRestart(count, together int, interval time.Duration) {
+	if count <= 0 {
+		return
+	}
+	for n := range min(count, together) {
+		s.restartPlanned(s.instances[((count-n)*7)%len(s.instances)])
+	}
+	s.after(interval, func() { s.rollingRestart(count-together, together, interval) })
+}
+
+// Guards against requests below a quota that are refused after faults of many instances: each process would issue nothing for
+// seconds. Callers send a refused request once more, so that demand is higher for about a second after a fault.
+func TestUsualDemandIsServedAfterMassRestarts(t *testing.T) {
+	for _, f := range massTroubles() {
+		s := newPermitSim(5, 127, 3, simCustomers())
+		s.fastStart, s.retries = true, true
+		s.startAll()
+		for _, c := range []int{0, 1} {
+			s.load(c, s.now.Add(40*time.Second))
+		}
+		s.run(15 * time.Second)
+		large, small := s.state[0], s.state[1]
+		*large, *small = simCustomer{demand: large.demand, quotas: large.quotas, arrived: large.arrived}, simCustomer{demand: small.demand, quotas: small.quotas, arrived: small.arrived}
+		f.begin(s)
+		broken := ""
+		var second []string // refused/asked in each second
+		for range 20 {
+			asked, refused, down := large.asked, large.refused, large.down
+			broken += s.run(time.Second)
+			second = append(second, fmt.Sprintf("%d+%d/%d", large.refused-refused-large.down+down, large.down-down, large.asked-asked))
+		}
+		t.Logf("%s: large %d of %d refused and %d not reached, small %d of %d and %d; peak %.2f; by second %v", f.name, large.refused-large.down, large.asked, large.down,
+			small.refused-small.down, small.asked, small.down, large.peak, second)
+		if broken != "" {
+			t.Errorf("%s: %s", f.name, broken)
+		}
+		if refused := large.refused - large.down; float64(refused) > f.maxRefused*float64(large.asked) {
+			t.Errorf("%s: %d of %d refused", f.name, refused, large.asked)
+		}
+	}
+}
