quota: owners keep issuing permits when the store stops answering

Signs of life began 1.9 s after the last answer of the store and a round took 2 s, so that owners heard from half of the others when they began to depend on it at 3 s, and issued half of their share for 3 s more. They now begin at 1.3 s, the first round takes 0.5 s, and answers about permits count, too. After an outage they end 1 s instead of 4 s after the first answer: an instance that stays cut off counts the others for a shorter time. A process that starts during an outage issues permits when it hears from at least 0.9 of the listed instances and from none that is not listed.

--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -31,8 +31,10 @@
 	// apartLimit is the time without the store after which an owner issues nothing. It ends before leftRetention.
 	apartLimit = 280 * time.Second
 	// settleTime is how long the store must have answered a process before the process relies on the number of instances that it has
-	// seen. One that is cut off earlier, after a power loss of all, may have seen only some of them.
-	settleTime = 10 * time.Second
+	// seen. One that is cut off earlier, after a power loss of all, may have seen only some of them. It issues permits only while it
+	// hears from at least unsettledPart of the listed instances, and from none that is not listed: the list is then complete.
+	settleTime    = 10 * time.Second
+	unsettledPart = 0.9
 	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
 	recentSlots = 7
 	slotLength  = takeOverDelay / (recentSlots - 1)
@@ -78,6 +80,7 @@
 	// Broken variants for tests.
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
+	trustNew  bool // a new process relies on the list that it has, without the store
 	skipWait  bool // buckets of a new process do not wait, though another instance may have been the owner
 }
 
@@ -203,19 +206,25 @@
 		}
 		return float64(len(i.peers)) / float64(max(i.peak, len(i.peers)))
 	}
-	if away > apartLimit || i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime {
+	if away > apartLimit {
 		return 0
 	}
-	side := 1 // this instance
+	side, unlisted := 1, false // this instance
 	for name, at := range i.heard {
-		if now.Sub(at) > heardFor {
+		switch {
+		case now.Sub(at) > heardFor:
 			delete(i.heard, name)
-			continue
-		}
-		if name != i.self && containsPeer(i.peers, name) {
+		case name == i.self:
+		case containsPeer(i.peers, name):
 			side++
+		default:
+			unlisted = true
 		}
 	}
+	unsettled := i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime
+	if unsettled && (unlisted || float64(side) < unsettledPart*float64(len(i.peers))) && !i.trustNew {
+		return 0
+	}
 	return float64(side) / float64(max(i.peak, len(i.peers)))
 }
 
--- a/coordination/quota/permit_test.go
+++ b/coordination/quota/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -160,6 +161,7 @@
 		{"owners that start with a full share", 18, func(s *permitSim) { s.fullStart = true }, restartingOwners},
 		{"permits that never end", 150, func(s *permitSim) { s.keepForever = true }, wanderingDemand},
 		{"new owners that do not wait", 108, func(s *permitSim) { s.skipWait = true }, joiningOwners},
+		{"new processes that rely on part of a list", 48, func(s *permitSim) { s.trustNew = true }, partialLists},
 		{"owners that ignore partitions", 18, func(s *permitSim) { s.wholeSide = true }, partitions},
 	} {
 		found := 0
@@ -231,6 +233,23 @@
 	return s.run(5 * time.Second)
 }
 
+// partialLists starts all instances one after the other when their entries have ended, and takes the store away while each has read
+// another part of the list. Later ones have wider links and are owners where they are known. The large customer sends 7 times its
+// usual demand.
+func partialLists(s *permitSim) string {
+	s.fastStart = true
+	for n, i := range s.instances {
+		i.peer.LinkMbps = int(10 * math.Pow(1.4, float64(n)))
+		i.listDelay = simListDelay * 3 / 4
+		s.after(time.Duration(n)*15*time.Millisecond, func() { s.start(i) })
+	}
+	s.run(time.Duration(len(s.instances)) * 15 * time.Millisecond)
+	s.storeAway = true
+	s.state[0].demand *= 7
+	s.load(0, s.now.Add(20*time.Second))
+	return s.run(20 * time.Second)
+}
+
 // wanderingDemand moves all requests of the large customer from instance to instance, and then spreads them over all.
 func wanderingDemand(s *permitSim) string {
 	s.startAll()
--- a/coordination/quota/permitsim_test.go
+++ b/coordination/quota/permitsim_test.go
@@ -18,9 +18,9 @@
 	simLease     = 3500 * time.Millisecond // of an instance's entry in the store
 	simRenewal   = 1100 * time.Millisecond
 	simListDelay = 2800 * time.Millisecond // the longest time until an instance in contact knows a change of the list
-	simReport    = 500 * time.Millisecond  // between two reports of the contact with the store
-	simApart     = 1900 * time.Millisecond
-	simApartFor  = 4 * time.Second
+	simReport    = 250 * time.Millisecond  // between two reports of the contact with the store
+	simApart     = 1300 * time.Millisecond
+	simApartFor  = time.Second
 	simWait      = 250 * time.Millisecond // for permits
 )
 
@@ -64,6 +64,7 @@
 	listDelay time.Duration // until it applies a list that it has read; 0 for a random one, simListDelay*3/4 at most
 	weight    float64
 	next      int // whom the next sign of life goes to
+	first     int // how many the first round of them has yet to reach
 	messages  int // sent and received
 }
 
@@ -111,7 +112,7 @@
 	pick      func() *simInstance // replaces weighted
 	expired   atomic.Uint64
 	// Broken variants.
-	fullStart, keepForever, wholeSide, skipWait bool
+	fullStart, keepForever, wholeSide, skipWait, trustNew bool
 }
 
 func newPermitSim(seed uint64, instances, regions int, customers []routing.Customer) *permitSim {
@@ -149,9 +150,9 @@
 	s.processes++
 	i.process = s.processes
 	i.issuer = NewIssuer(i.peer.Name)
-	i.issuer.fullStart, i.issuer.wholeSide, i.issuer.skipWait = s.fullStart, s.wholeSide, s.skipWait
+	i.issuer.fullStart, i.issuer.wholeSide, i.issuer.skipWait, i.issuer.trustNew = s.fullStart, s.wholeSide, s.skipWait, s.trustNew
 	i.holders, i.peers, i.answered, i.customers, i.version, i.seen = nil, nil, 0, nil, 0, 0
-	i.list = PeerList{}
+	i.list, i.first, i.apartTill = PeerList{}, 0, 0
 	for range s.customers {
 		h := NewHolder(s.now, &s.expired)
 		h.keepForever = s.keepForever
@@ -324,12 +325,20 @@
 func (s *permitSim) report(i *simInstance) {
 	i.issuer.Tick(s.now, s.away(i))
 	if s.away(i) > simApart {
+		if !s.now.Before(i.apartTill) {
+			i.first = len(i.peers)
+		}
 		i.apartTill = s.now.Add(simApartFor)
 	}
 	if !s.now.Before(i.apartTill) {
 		return
 	}
-	for range len(i.peers)/4 + 1 {
+	count := min(63, len(i.peers)/8+1)
+	if i.first > 0 {
+		count = max(count, min(125, (len(i.peers)+1)/2))
+		i.first -= count
+	}
+	for range count {
 		if len(i.peers) == 0 {
 			return
 		}
@@ -432,10 +441,17 @@
 	r.asked = append(r.asked, a.Owner.Name)
 	a.Timeout = min(a.Timeout, r.deadline.Sub(s.now))
 	ask := Ask{From: i.peer.Name, Customer: s.customers[r.c].Name, Count: a.Count}
-	done := false
+	done, apart := false, s.away(i) > simApart
 	s.send(i, a.Owner.Name, func(owner *simInstance) {
+		if apart {
+			owner.issuer.Hear(s.now, i.peer.Name)
+		}
 		granted := owner.issuer.Grant(s.now, s.away(owner), ask)
+		apart := s.away(owner) > simApart
 		s.send(owner, i.peer.Name, func(*simInstance) {
+			if apart {
+				i.issuer.Hear(s.now, owner.peer.Name)
+			}
 			if done || i.process != r.process {
 				return
 			}
--- a/coordination/quota/permittrouble_test.go
+++ b/coordination/quota/permittrouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -94,6 +95,15 @@
 				s.after(500*time.Millisecond+s.upTo(500*time.Millisecond), func() { s.restart(i) })
 			}
 		}, none, 0.02},
+		{"the store is away for 4.5 s, 45% restart, 6 each 1.3 s", func(s *permitSim) {
+			s.storeAway = true
+			s.after(4500*time.Millisecond, func() { s.storeAway = false })
+			s.rollingRestart(len(s.instances)*45/100, 6, 1300*time.Millisecond)
+		}, none, 0.02},
+		{"the store is away for 4.5 s", func(s *permitSim) {
+			s.storeAway = true
+			s.after(4500*time.Millisecond, func() { s.storeAway = false })
+		}, none, 0.02},
 		{"23 restart as planned in 5 s", func(s *permitSim) { s.rollingRestart(23, 6, 1300*time.Millisecond) }, none, 0.02},
 	}
 }
@@ -112,8 +122,8 @@
 // Guards against requests below a quota that are refused after faults of many instances: each process would issue nothing for
 // seconds. Callers send a refused request once more, so that demand is higher for about a second after a fault.
 func TestUsualDemandIsServedAfterMassRestarts(t *testing.T) {
-	for _, f := range massTroubles() {
-		s := newPermitSim(5, 127, 3, simCustomers())
+	for n, f := range slices.Repeat(massTroubles(), 3) {
+		s := newPermitSim(uint64(n), 127, 3, simCustomers())
 		s.fastStart, s.retries = true, true
 		s.startAll()
 		for _, c := range []int{0, 1} {
@@ -121,7 +131,9 @@
 		}
 		s.run(15 * time.Second)
 		large, small := s.state[0], s.state[1]
-		*large, *small = simCustomer{demand: large.demand, quotas: large.quotas, arrived: large.arrived}, simCustomer{demand: small.demand, quotas: small.quotas, arrived: small.arrived}
+		for _, m := range s.state[:2] {
+			m.asked, m.refused, m.down, m.peak = 0, 0, 0, 0
+		}
 		f.begin(s)
 		broken := ""
 		var second []string // refused/asked in each second
--- a/transport/peers/permits.go
+++ b/transport/peers/permits.go
@@ -21,16 +21,19 @@
 	// asking instance asks the next owner.
 	maxQueuedAnswers = 1024
 	// contactInterval is the time between two reports to the control goroutine how long ago the store last answered.
-	contactInterval = 500 * time.Millisecond
+	contactInterval = 250 * time.Millisecond
 	// apartFrom is the time without an answer of the store after which an instance sends signs of life. Leases are renewed each
-	// 1.1 s, so that it passes only after a renewal has failed. It is shorter than the time after which owners depend on them.
-	apartFrom = 1900 * time.Millisecond
-	// apartFor is how long an instance goes on with them after the store has answered, as owners wait for that time, too.
-	apartFor = 4 * time.Second
-	// aliveRound is the time in which an instance sends a sign of life to each other instance, and maxAlivePerReport bounds those
-	// of one contactInterval. Beyond 500 instances a round takes longer, and owners without the store issue less.
+	// 1.1 s, so that it passes only after a renewal has failed. Two instances lose the store up to 1.1 s apart: with the first round of
+	// signs in two reports, each hears from all others within 3 s of its own last answer, when owners begin to depend on them.
+	apartFrom = 1300 * time.Millisecond
+	// apartFor is how long an instance goes on with them after the store has answered: others may get their first answer later.
+	apartFor = time.Second
+	// aliveRound is the time in which an instance sends a sign of life to each other instance after the first round, and
+	// maxAlivePerReport bounds those of one contactInterval, maxFirstPerReport those of the first round. Beyond 500 instances a round
+	// takes longer, and owners without the store issue less.
 	aliveRound        = 2 * time.Second
-	maxAlivePerReport = 125
+	maxAlivePerReport = 63
+	maxFirstPerReport = 125
 )
 
 // PermitStats counts permits of customers.
@@ -215,6 +218,9 @@
 			}
 		}})
 	case p.Granted != nil:
+		if p.Apart {
+			n.post(catalog.HeardApart{From: m.From})
+		}
 		n.holders.mu.Lock()
 		answer := n.holders.waiting[p.Granted.ID]
 		delete(n.holders.waiting, p.Granted.ID) // a repeated datagram counts once
@@ -240,7 +246,7 @@
 			if len(v.FleetKey) == 0 {
 				continue
 			}
-			if data := n.encode(v, &gossip.Message{Permits: &gossip.PermitMessage{Granted: &a.granted}}); data != nil {
+			if data := n.encode(v, &gossip.Message{Permits: &gossip.PermitMessage{Apart: n.opts.Away() > apartFrom, Granted: &a.granted}}); data != nil {
 				n.write(data, a.to)
 			}
 		}
@@ -254,7 +260,7 @@
 		return
 	}
 	var apartUntil state.Instant
-	next := 0
+	next, first := 0, 0 // first is the number of instances that the first round has yet to reach
 	wait.Every(ctx, contactInterval, func() {
 		v := n.opts.Loop.View()
 		if !limitsCustomers(v) {
@@ -263,16 +269,24 @@
 		now, away := n.opts.Loop.Now(), n.opts.Away()
 		n.post(catalog.ContactChecked{Away: away})
 		if away > apartFrom {
+			if !now.Before(apartUntil) {
+				first = len(v.Peers)
+			}
 			apartUntil = now.Add(apartFor)
 		}
 		if now.Before(apartUntil) {
-			next = n.sendAlive(v, next)
+			count := min(maxAlivePerReport, len(v.Peers)*int(contactInterval/time.Millisecond)/int(aliveRound/time.Millisecond)+1)
+			if first > 0 {
+				count = max(count, min(maxFirstPerReport, (len(v.Peers)+1)/2))
+				first -= count
+			}
+			next = n.sendAlive(v, next, count)
 		}
 	})
 }
 
-// sendAlive sends signs of life to the instances that are next in turn, and returns where the following ones begin.
-func (n *Node) sendAlive(v *catalog.View, next int) int {
+// sendAlive sends signs of life to the count instances that are next in turn, and returns where the following ones begin.
+func (n *Node) sendAlive(v *catalog.View, next, count int) int {
 	if len(v.Peers) == 0 || len(v.FleetKey) == 0 {
 		return next
 	}
@@ -280,7 +294,6 @@
 	if data == nil {
 		return next
 	}
-	count := min(maxAlivePerReport, len(v.Peers)*int(contactInterval/time.Millisecond)/int(aliveRound/time.Millisecond)+1)
 	for range count {
 		p := v.Peers[next%len(v.Peers)]
 		next = (next + 1) % len(v.Peers)
