quota: the entry of an instance states when it joined

An owner that had just joined, ended and started again within 3 s was taken for one that had been the owner all along, and issued permits beside the earlier owner: with all owners of a customer in that case, the quota was exceeded (the check finds it as "new owners that restart and do not wait"). The entry now holds the time at which the instance joined; a process that finds its instance listed keeps it, and waits for the rest of the 3 s. Entries without the time count as new.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -122,7 +122,7 @@
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.logWriter,
 	})
 	p.limits.Store(&cfg.Limits)
-	core := catalog.NewCore(catalog.Options{Self: cfg.Name, Cold: coldLimit(cfg.Limits), Customers: customerBound(cfg.Limits)})
+	core := catalog.NewCore(catalog.Options{Self: cfg.Name, StartedMS: time.Now().UnixMilli(), Cold: coldLimit(cfg.Limits), Customers: customerBound(cfg.Limits)})
 	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.LogEntry) { p.log.Info(n.Message, n.Fields...) })
 	self := routing.Peer{
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
@@ -313,6 +313,7 @@
 		return // the planned stop has begun
 	}
 	go metastore.EnsureFleetKey(ctx, p.store, func() bool { return p.loop.View().FleetKey != nil }, p.log.Named("store"))
+	p.store.SetJoined(p.loop.View().JoinedMS)
 	p.registrar.Run(ctx)
 }
 
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -37,6 +37,7 @@
 // Options configure a core. A Limits event replaces Cold and Customers.
 type Options struct {
 	Self      state.InstanceName
+	StartedMS int64 // when the process started, in ms since 1970
 	Cold      quota.ColdLimit
 	Customers quota.CustomerBound
 }
@@ -55,6 +56,7 @@
 	peersChanged  uint64 // number of changes of peers
 	issuer        *quota.Issuer
 	issuerBasis   issuerBasis
+	joinedMS      int64          // when this instance joined; 0 before the first listing
 	owners        quota.PeerList // that owners of customers follow from
 	listed        []routing.Peer // its last state
 	listChanged   uint64         // number of changes of listed
--- a/coordination/catalog/permits.go
+++ b/coordination/catalog/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
@@ -38,14 +39,19 @@
 	c.issuer.Update(now, basis.bound, c.listed, c.table.Customers)
 }
 
-// beginIssuer tells the issuer whether the first listing has an entry of an earlier process of this instance. The instance registers
-// only when it has a table, which comes with a listing.
+// beginIssuer tells the issuer how long the instance has been listed when the process starts: an earlier process of it has written
+// the entry in the first listing. This one registers only when it has a table, which comes with a listing.
 func (c *Core) beginIssuer(now state.Instant, ev Listed) {
-	listed := slices.ContainsFunc(ev.Items, func(it Item) bool {
-		p, ok := it.Fact.(*routing.Peer)
-		return ok && p.Name == c.opts.Self
-	})
-	c.issuer.Begin(now, listed, ev.Source == FromListing)
+	if c.joinedMS != 0 || c.opts.StartedMS == 0 {
+		return
+	}
+	c.joinedMS, c.dirty = c.opts.StartedMS, true
+	for _, it := range ev.Items {
+		if p, ok := it.Fact.(*routing.Peer); ok && p.Name == c.opts.Self && p.JoinedMS > 0 {
+			c.joinedMS = min(c.joinedMS, p.JoinedMS)
+		}
+	}
+	c.issuer.Begin(now, time.Duration(c.opts.StartedMS-c.joinedMS)*time.Millisecond, ev.Source == FromListing)
 }
 
 // stepIssuer applies an event about permits.
--- a/coordination/catalog/permits_test.go
+++ b/coordination/catalog/permits_test.go
@@ -52,7 +52,11 @@
 func TestARestartedOwnerDoesNotWait(t *testing.T) {
 	bound := quota.CustomerBound{Window: 5 * time.Second, Overage: 0.1, Tolerance: 20}
 	table := Item{Key: "table", Fact: &routing.Table{Version: 1, Customers: []routing.Customer{{Name: "large", Quota: routing.Quota{Rate: 50}}}}}
-	self := Item{Key: "front-1", Fact: &routing.Peer{Name: "front-1", PeerAddress: "a"}}
+	const started = 1_700_000_000_000
+	entry := func(joined int64) Item {
+		return Item{Key: "front-1", Fact: &routing.Peer{Name: "front-1", PeerAddress: "a", JoinedMS: joined}}
+	}
+	self := entry(started - 60_000)
 	other := Item{Key: "front-2", Fact: &routing.Peer{Name: "front-2", PeerAddress: "b"}}
 	for _, c := range []struct {
 		name   string
@@ -62,12 +66,15 @@
 	}{
 		{"listed by the store", FromListing, []Item{table, self, other}, true},
 		{"not listed", FromListing, []Item{table, other}, false},
+		{"listed for a moment", FromListing, []Item{table, entry(started - 1000), other}, false},
+		{"listed since an unknown time", FromListing, []Item{table, entry(0), other}, false},
+		{"listed in the future", FromListing, []Item{table, entry(started + 60_000), other}, false},
 		{"listed by another instance", FromInstance, []Item{table, self, other}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			now := state.Instant(time.Hour)
-			core := NewCore(Options{Self: "front-1", Customers: bound})
+			core := NewCore(Options{Self: "front-1", StartedMS: started, Customers: bound})
 			ask := func(count int) (out quota.Granted) {
 				core.Step(now, AskPermits{Ask: quota.Ask{Customer: "large", Count: count}, Answer: func(answer quota.Granted) { out = answer }})
 				return out
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -19,7 +19,7 @@
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.storeLost,
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
 		VerifiedAt: c.verifiedAt,
-		Customers:  c.opts.Customers, Owners: c.listed, OwnersSeen: c.listChanged,
+		Customers:  c.opts.Customers, Owners: c.listed, OwnersSeen: c.listChanged, JoinedMS: c.joinedMS,
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -25,6 +25,7 @@
 	Customers  quota.CustomerBound
 	Owners     []routing.Peer // that owners of customers follow from: Peers, and instances that have just disappeared together
 	OwnersSeen uint64         // number of changes of Owners
+	JoinedMS   int64          // when this instance joined, in ms since 1970; 0 before the first listing
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -70,8 +70,7 @@
 	peak      int // highest number of instances within leftRetention
 	peakAt    state.Instant
 	contactAt state.Instant // first answer of the store; 0 before
-	begun     bool          // a list of instances is known
-	relisted  bool          // the first list had an entry of an earlier process of this instance, and it is the one in force
+	listed    time.Duration // how long the instance had been listed when the process started, for its first buckets
 	buckets   map[state.CustomerName]*bucket
 	heard     map[state.InstanceName]state.Instant
 	slot      int64 // number of the newest slot
@@ -81,6 +80,7 @@
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
 	trustNew  bool // a new process relies on the list that it has, without the store
+	skipYoung bool // a process does not wait if its instance had been listed for any time
 	skipWait  bool // buckets of a new process do not wait, though another instance may have been the owner
 }
 
@@ -106,16 +106,17 @@
 	return i
 }
 
-// Begin applies the first list of instances that a process knows, before it registers. With an entry in it, the instance is still
-// the owner that its earlier process was: no other instance has taken over, so that new buckets need not wait. They are empty, as
-// what the earlier process has issued is not known: both together then issue what one bucket would. A list that is not from the store
-// may be old. Then the fraction in force grows from 0 like that of a side that grows.
-func (i *Issuer) Begin(now state.Instant, listed, fromStore bool) {
-	if i.begun {
-		return
+// Begin applies how long the instance had been listed when its process started, by the first list that the process knows. If it had
+// been listed for takeOverDelay it is still the owner that its earlier process was, and no other one issues permits in its place, so
+// that new buckets need not wait. They are empty, as what the earlier process has issued is not known: both together then issue
+// what one bucket would. A list that is not from the store may be old. Then the fraction in force grows from 0 like that of a side
+// that grows.
+func (i *Issuer) Begin(now state.Instant, listed time.Duration, fromStore bool) {
+	i.listed = listed
+	if i.skipYoung && listed > 0 {
+		i.listed = takeOverDelay
 	}
-	i.begun, i.relisted = true, listed
-	if listed && !fromStore {
+	if listed > 0 && !fromStore {
 		i.fraction, i.recent = 0, [recentSlots]float64{}
 		i.slot = int64(now) / int64(slotLength)
 	}
@@ -142,8 +143,8 @@
 		b := i.buckets[c.Name]
 		share := 1 / float64(len(owners))
 		if b == nil {
-			b = &bucket{share: share, at: now.Add(takeOverDelay)}
-			if i.relisted || i.skipWait {
+			b = &bucket{share: share, at: now.Add(max(0, takeOverDelay-i.listed))}
+			if i.skipWait {
 				b.at = now
 			}
 			if i.fullStart {
@@ -156,7 +157,9 @@
 		kept[c.Name] = b
 	}
 	i.buckets = kept
-	i.relisted = i.relisted && len(customers) == 0 && containsPeer(peers, i.self) // later buckets are new
+	if len(customers) > 0 || !containsPeer(peers, i.self) {
+		i.listed = 0 // later buckets are new
+	}
 	i.settleAll(now)
 }
 
--- a/coordination/quota/permit_test.go
+++ b/coordination/quota/permit_test.go
@@ -161,6 +161,7 @@
 		{"owners that start with a full share", 18, func(s *permitSim) { s.fullStart = true }, restartingOwners},
 		{"permits that never end", 150, func(s *permitSim) { s.keepForever = true }, wanderingDemand},
 		{"new owners that do not wait", 108, func(s *permitSim) { s.skipWait = true }, joiningOwners},
+		{"new owners that restart and do not wait", 108, func(s *permitSim) { s.skipYoung = true }, restartingJoiners},
 		{"new processes that rely on part of a list", 48, func(s *permitSim) { s.trustNew = true }, partialLists},
 		{"owners that ignore partitions", 18, func(s *permitSim) { s.wholeSide = true }, partitions},
 	} {
@@ -205,7 +206,12 @@
 
 // joiningOwners starts instances with wider and wider links, which become the owners in place of running ones, while the large
 // customer sends 7 times its usual demand. Half of the others learn of each change early, half late.
-func joiningOwners(s *permitSim) string {
+func joiningOwners(s *permitSim) string { return s.joinOwners(false) }
+
+// restartingJoiners is the same with instances that are killed and start again as soon as they have joined.
+func restartingJoiners(s *permitSim) string { return s.joinOwners(true) }
+
+func (s *permitSim) joinOwners(restart bool) string {
 	first := len(s.instances) / 2
 	for n, i := range s.instances {
 		i.listDelay = simListDelay * 3 / 4
@@ -224,6 +230,9 @@
 		for _, i := range s.instances[first : first+maxOwners] {
 			i.peer.LinkMbps = link
 			s.start(i)
+			if restart {
+				s.after(250*time.Millisecond, func() { s.kill(i); s.restart(i) })
+			}
 		}
 		first += maxOwners
 		if broken := s.run(1200 * time.Millisecond); broken != "" {
--- a/coordination/quota/permitsim_test.go
+++ b/coordination/quota/permitsim_test.go
@@ -58,6 +58,8 @@
 	customers []routing.Customer
 	version   int           // of customers
 	answered  state.Instant // last answer of the store
+	started   state.Instant // of the process
+	joined    state.Instant // of the instance, for its entry
 	apartTill state.Instant
 	side      int           // of a partition
 	noStore   bool          // cut off from the store only
@@ -100,6 +102,7 @@
 	instances []*simInstance
 	byName    map[state.InstanceName]*simInstance
 	leases    map[state.InstanceName]state.Instant
+	joined    map[state.InstanceName]state.Instant // of the entries
 	leasesEnd bool
 	storeAway bool
 	loss      float64
@@ -112,12 +115,12 @@
 	pick      func() *simInstance // replaces weighted
 	expired   atomic.Uint64
 	// Broken variants.
-	fullStart, keepForever, wholeSide, skipWait, trustNew bool
+	fullStart, keepForever, wholeSide, skipWait, skipYoung, trustNew bool
 }
 
 func newPermitSim(seed uint64, instances, regions int, customers []routing.Customer) *permitSim {
 	s := &permitSim{
-		random: rand.New(rand.NewPCG(seed, 7)), now: state.Instant(time.Hour), leases: make(map[state.InstanceName]state.Instant),
+		random: rand.New(rand.NewPCG(seed, 7)), now: state.Instant(time.Hour), leases: make(map[state.InstanceName]state.Instant), joined: make(map[state.InstanceName]state.Instant),
 		bound: CustomerBound{Window: 5 * time.Second, Overage: 0.1, Tolerance: 20}, customers: customers, leasesEnd: true, byName: make(map[state.InstanceName]*simInstance),
 	}
 	for _, c := range customers {
@@ -148,9 +151,9 @@
 // start starts a process of an instance.
 func (s *permitSim) start(i *simInstance) {
 	s.processes++
-	i.process = s.processes
+	i.process, i.started, i.joined = s.processes, s.now, s.now
 	i.issuer = NewIssuer(i.peer.Name)
-	i.issuer.fullStart, i.issuer.wholeSide, i.issuer.skipWait, i.issuer.trustNew = s.fullStart, s.wholeSide, s.skipWait, s.trustNew
+	i.issuer.fullStart, i.issuer.wholeSide, i.issuer.skipWait, i.issuer.trustNew, i.issuer.skipYoung = s.fullStart, s.wholeSide, s.skipWait, s.trustNew, s.skipYoung
 	i.holders, i.peers, i.answered, i.customers, i.version, i.seen = nil, nil, 0, nil, 0, 0
 	i.list, i.first, i.apartTill = PeerList{}, 0, 0
 	for range s.customers {
@@ -161,7 +164,8 @@
 	process := i.process
 	s.every(i, process, simRenewal, func() {
 		if s.inContact(i) && i.seen > 0 { // an instance registers when it has a table
-			s.leases[i.peer.Name], i.answered = s.now.Add(simLease), s.now
+			s.register(i)
+			i.answered = s.now
 		}
 	})
 	if s.fastStart {
@@ -186,7 +190,7 @@
 		list, customers, version := s.list(), slices.Clone(s.customers), s.version
 		s.after(cmp.Or(i.listDelay, s.upTo(simListDelay/2)), func() {
 			if i.process == process {
-				i.issuer.Begin(s.now, containsPeer(list, i.peer.Name), true)
+				s.begin(i, list, true)
 				s.update(i, list, customers, version)
 			}
 		})
@@ -194,6 +198,24 @@
 	s.every(i, process, simReport, func() { s.report(i) })
 }
 
+// begin lets a new process apply its first list.
+func (s *permitSim) begin(i *simInstance, list []routing.Peer, fromStore bool) {
+	if i.seen > 0 {
+		return
+	}
+	joined, known := s.joined[i.peer.Name]
+	if !known || !containsPeer(list, i.peer.Name) {
+		joined = i.started
+	}
+	i.joined = joined
+	i.issuer.Begin(s.now, i.started.Sub(joined), fromStore)
+}
+
+// register writes an instance's entry.
+func (s *permitSim) register(i *simInstance) {
+	s.leases[i.peer.Name], s.joined[i.peer.Name] = s.now.Add(simLease), i.joined
+}
+
 // firstList gives a new process the list of the store, or of another instance when the store does not answer.
 func (s *permitSim) firstList(i *simInstance) {
 	if !s.inContact(i) {
@@ -202,10 +224,10 @@
 	}
 	i.answered = s.now
 	list := s.list()
-	i.issuer.Begin(s.now, containsPeer(list, i.peer.Name), true)
+	s.begin(i, list, true)
 	customers, version, process := slices.Clone(s.customers), s.version, i.process
 	s.update(i, list, customers, version)
-	s.leases[i.peer.Name] = s.now.Add(simLease)
+	s.register(i)
 	registered := s.list()
 	s.after(s.upTo(100*time.Millisecond), func() {
 		if i.process == process {
@@ -226,7 +248,7 @@
 	if newest == nil {
 		return
 	}
-	i.issuer.Begin(s.now, containsPeer(newest.peers, i.peer.Name), false)
+	s.begin(i, newest.peers, false)
 	s.update(i, newest.peers, newest.customers, newest.version)
 }
 
--- a/state/routing/backend.go
+++ b/state/routing/backend.go
@@ -25,4 +25,5 @@
 	CallersAddress string // address that callers connect to
 	PeerAddress    string // UDP address for messages between instances
 	LinkMbps       int    // bandwidth of its link in Mbit/s; 0 if not known
+	JoinedMS       int64  // when it joined, in ms since 1970 by its own clock; earlier processes of a listed instance count. 0 if not known
 }
--- a/transport/peers/permits_test.go
+++ b/transport/peers/permits_test.go
@@ -161,7 +161,7 @@
 	for _, n := range nodes {
 		n.away.Store(int64(apartFrom + time.Millisecond))
 	}
-	time.Sleep(aliveRound + contactInterval)
+	time.Sleep(3 * contactInterval) // the first round takes two reports
 	for _, n := range nodes {
 		n.away.Store(int64(4 * time.Second))
 	}
