quota: a process that starts beside instances without the store counts them

A process that had just started said that the store does not answer it, so that an instance without the store counted it on its side for 6 s, while the process itself issued its whole share: the property test found 747 requests in a window of 746 (2 instances, one without the store as the other restarts). Processes say so only after 1.3 s now, and an instance that is heard without the store and is not listed counts as one of all instances for 5 min.

--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -181,6 +181,7 @@
 	if len(i.peers) == 0 {
 		return // no bucket, and a fraction of 0 would count for takeOverDelay after the first list
 	}
+	i.countUnlisted(now)
 	fraction := i.sideFraction(now, away)
 	number := int64(now) / int64(slotLength)
 	for ; i.slot < number; i.slot++ {
@@ -198,6 +199,22 @@
 	}
 }
 
+// countUnlisted takes into account instances that have lost the store before this process began, and that no list had since.
+func (i *Issuer) countUnlisted(now state.Instant) {
+	if i.trustNew {
+		return
+	}
+	n := len(i.peers)
+	for name, at := range i.heard {
+		if name != i.self && now.Sub(at) <= heardFor && !containsPeer(i.peers, name) {
+			n++
+		}
+	}
+	if n > i.peak {
+		i.peak, i.peakAt = n, now
+	}
+}
+
 // sideFraction returns the part of all instances that this one's side of a possible partition has at least.
 func (i *Issuer) sideFraction(now state.Instant, away time.Duration) float64 {
 	if i.wholeSide {
--- a/transport/peers/permits.go
+++ b/transport/peers/permits.go
@@ -183,7 +183,7 @@
 			delete(n.holders.waiting, ask.ID)
 			n.holders.mu.Unlock()
 		}()
-		n.send(v, []routing.Peer{a.Owner}, &gossip.Message{Permits: &gossip.PermitMessage{Apart: n.opts.Away() > apartFrom, Ask: &ask}})
+		n.send(v, []routing.Peer{a.Owner}, &gossip.Message{Permits: &gossip.PermitMessage{Apart: n.apart(), Ask: &ask}})
 	}
 	n.Permits.Asked.Add(1)
 	timer := time.NewTimer(a.Timeout)
@@ -246,7 +246,7 @@
 			if len(v.FleetKey) == 0 {
 				continue
 			}
-			if data := n.encode(v, &gossip.Message{Permits: &gossip.PermitMessage{Apart: n.opts.Away() > apartFrom, Granted: &a.granted}}); data != nil {
+			if data := n.encode(v, &gossip.Message{Permits: &gossip.PermitMessage{Apart: n.apart(), Granted: &a.granted}}); data != nil {
 				n.write(data, a.to)
 			}
 		}
@@ -268,7 +268,7 @@
 		}
 		now, away := n.opts.Loop.Now(), n.opts.Away()
 		n.post(catalog.ContactChecked{Away: away})
-		if away > apartFrom {
+		if n.apart() {
 			if !now.Before(apartUntil) {
 				first = len(v.Peers)
 			}
@@ -285,6 +285,12 @@
 	})
 }
 
+// apart reports whether the store has not answered for apartFrom. A process that has just started is not apart yet: others would count
+// it as one that cannot reach the store.
+func (n *Node) apart() bool {
+	return min(n.opts.Away(), n.opts.Loop.Now().Sub(n.holders.started)) > apartFrom
+}
+
 // sendAlive sends signs of life to the count instances that are next in turn, and returns where the following ones begin.
 func (n *Node) sendAlive(v *catalog.View, next, count int) int {
 	if len(v.Peers) == 0 || len(v.FleetKey) == 0 {
