quota: an unsettled owner without the store needs two others; fewer calculations of the fraction

An owner that had little contact with the store now issues without it only when it hears from two others at least. The fraction is calculated at most each 50 ms instead of with each request for permits.

--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -35,9 +35,15 @@
 	// hears from at least unsettledPart of the listed instances, and from none that is not listed: the list is then complete.
 	settleTime    = 10 * time.Second
 	unsettledPart = 0.9
+	// unsettledMin is the min number of instances, with this one, that must be in contact for that: two that do not list each other
+	// hear nothing of each other.
+	unsettledMin = 3
 	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
 	recentSlots = 7
-	slotLength  = takeOverDelay / (recentSlots - 1)
+	// tickInterval is the min time between two calculations of the fraction, which take a look-up for each instance that is heard. A
+	// request for permits would otherwise cause one.
+	tickInterval = 50 * time.Millisecond
+	slotLength   = takeOverDelay / (recentSlots - 1)
 )
 
 // Ask is a request for permits.
@@ -64,18 +70,20 @@
 //
 // It belongs to the control goroutine.
 type Issuer struct {
-	self      state.InstanceName
-	bound     CustomerBound
-	peers     []routing.Peer
-	peak      int // highest number of instances within leftRetention
-	peakAt    state.Instant
-	contactAt state.Instant // first answer of the store; 0 before
-	listed    time.Duration // how long the instance had been listed when the process started, for its first buckets
-	buckets   map[state.CustomerName]*bucket
-	heard     map[state.InstanceName]state.Instant
-	slot      int64 // number of the newest slot
-	recent    [recentSlots]float64
-	fraction  float64 // in force
+	self       state.InstanceName
+	bound      CustomerBound
+	peers      []routing.Peer
+	peak       int // highest number of instances within leftRetention
+	peakAt     state.Instant
+	contactAt  state.Instant // first answer of the store; 0 before
+	listed     time.Duration // how long the instance had been listed when the process started, for its first buckets
+	buckets    map[state.CustomerName]*bucket
+	heard      map[state.InstanceName]state.Instant
+	slot       int64         // number of the newest slot
+	tickedAt   state.Instant // last calculation of the fraction, and whether the store answered then
+	tickedNear bool
+	recent     [recentSlots]float64
+	fraction   float64 // in force
 	// Broken variants for tests.
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
@@ -126,7 +134,7 @@
 // more are dropped; new ones are empty.
 func (i *Issuer) Update(now state.Instant, bound CustomerBound, peers []routing.Peer, customers []routing.Customer) {
 	i.settleAll(now)
-	i.bound, i.peers = bound, peers
+	i.bound, i.peers, i.tickedAt = bound, peers, 0
 	if n := len(peers); n >= i.peak || now.Sub(i.peakAt) >= leftRetention {
 		i.peak, i.peakAt = n, now
 	}
@@ -181,6 +189,11 @@
 	if len(i.peers) == 0 {
 		return // no bucket, and a fraction of 0 would count for takeOverDelay after the first list
 	}
+	near := away <= apartAfter
+	if i.tickedAt != 0 && now.Sub(i.tickedAt) < tickInterval && near == i.tickedNear {
+		return
+	}
+	i.tickedAt, i.tickedNear = now, near
 	i.countUnlisted(now)
 	fraction := i.sideFraction(now, away)
 	number := int64(now) / int64(slotLength)
@@ -242,7 +255,7 @@
 		}
 	}
 	unsettled := i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime
-	if unsettled && (unlisted || float64(side) < unsettledPart*float64(len(i.peers))) && !i.trustNew {
+	if unsettled && (unlisted || float64(side) < max(unsettledMin, unsettledPart*float64(len(i.peers)))) && !i.trustNew {
 		return 0
 	}
 	return float64(side) / float64(max(i.peak, len(i.peers)))
