--- a/coordination/quota/issuer.go
+++ b/coordination/quota/issuer.go
@@ -18,7 +18,8 @@
 // Times of an issuer.
 const (
 	// takeOverDelay is how long an instance that becomes an owner, or whose share grows, issues nothing more: until then an
-	// earlier owner may not know the change. Instances in contact know each change within that time.
+	// earlier owner may not know the change. Instances in contact know each change within that time. An instance that restarts while
+	// it is listed has been an owner all along and does not wait.
 	takeOverDelay = 3 * time.Second
 	// apartAfter is the time without an answer of the store after which an instance may soon be missing from the lists of the
 	// others. It is shorter than the lease of an instance's entry.
@@ -30,10 +31,19 @@
 	// apartLimit is the time without the store after which an owner issues nothing. It ends before leftRetention.
 	apartLimit = 280 * time.Second
 	// settleTime is how long the store must have answered a process before the process relies on the number of instances that it has
-	// seen. One that is cut off earlier, after a power loss of all, may have seen only some of them.
-	settleTime = 10 * time.Second
+	// seen. One that is cut off earlier, after a power loss of all, may have seen only some of them. It issues permits only while it
+	// hears from at least unsettledPart of the listed instances, and from none that is not listed: the list is then complete.
+	settleTime    = 10 * time.Second
+	unsettledPart = 0.9
+	// unsettledMin is the min number of instances, with this one, that must be in contact for that: two that do not list each other
+	// hear nothing of each other.
+	unsettledMin = 3
 	// recentSlots is the number of slots, of takeOverDelay in all and one more, for the lowest recent fraction.
 	recentSlots = 7
+	// tickInterval is the min time between two calculations of the fraction, which take a look-up for each instance that is heard. A
+	// request for permits would otherwise cause one.
+	tickInterval = 50 * time.Millisecond
+	slotLength   = takeOverDelay / (recentSlots - 1)
 )
 
 // Ask is a request for permits.
@@ -48,7 +58,7 @@
 type Granted struct {
 	ID         uint64
 	Count      int
-	NotOwner   bool // the instance is no owner of the customer
+	NotOwner   bool // the instance is no owner of the customer, or does not issue permits for it yet
 	RetryAfter time.Duration
 }
 
@@ -60,20 +70,26 @@
 //
 // It belongs to the control goroutine.
 type Issuer struct {
-	self      state.InstanceName
-	bound     CustomerBound
-	peers     []routing.Peer
-	peak      int // highest number of instances within leftRetention
-	peakAt    state.Instant
-	contactAt state.Instant // first answer of the store; 0 before
-	buckets   map[state.CustomerName]*bucket
-	heard     map[state.InstanceName]state.Instant
-	slot      int64 // number of the newest slot
-	recent    [recentSlots]float64
-	fraction  float64 // in force
+	self       state.InstanceName
+	bound      CustomerBound
+	peers      []routing.Peer
+	peak       int // highest number of instances within leftRetention
+	peakAt     state.Instant
+	contactAt  state.Instant // first answer of the store; 0 before
+	listed     time.Duration // how long the instance had been listed when the process started, for its first buckets
+	buckets    map[state.CustomerName]*bucket
+	heard      map[state.InstanceName]state.Instant
+	slot       int64         // number of the newest slot
+	tickedAt   state.Instant // last calculation of the fraction, and whether the store answered then
+	tickedNear bool
+	recent     [recentSlots]float64
+	fraction   float64 // in force
 	// Broken variants for tests.
 	fullStart bool // new buckets hold the whole share of a window
 	wholeSide bool // partitions are ignored
+	trustNew  bool // a new process relies on the list that it has, without the store
+	skipYoung bool // a process does not wait if its instance had been listed for any time
+	skipWait  bool // buckets of a new process do not wait, though another instance may have been the owner
 }
 
 // bucket is a token bucket for one customer.
@@ -98,11 +114,27 @@
 	return i
 }
 
+// Begin applies how long the instance had been listed when its process started, by the first list that the process knows. If it had
+// been listed for takeOverDelay it is still the owner that its earlier process was, and no other one issues permits in its place, so
+// that new buckets need not wait. They are empty, as what the earlier process has issued is not known: both together then issue
+// what one bucket would. A list that is not from the store may be old. Then the fraction in force grows from 0 like that of a side
+// that grows.
+func (i *Issuer) Begin(now state.Instant, listed time.Duration, fromStore bool) {
+	i.listed = listed
+	if i.skipYoung && listed > 0 {
+		i.listed = takeOverDelay
+	}
+	if listed > 0 && !fromStore {
+		i.fraction, i.recent = 0, [recentSlots]float64{}
+		i.slot = int64(now) / int64(slotLength)
+	}
+}
+
 // Update applies a list of instances and the customers of a routing table. Buckets of customers that the instance is no owner of any
 // more are dropped; new ones are empty.
 func (i *Issuer) Update(now state.Instant, bound CustomerBound, peers []routing.Peer, customers []routing.Customer) {
 	i.settleAll(now)
-	i.bound, i.peers = bound, peers
+	i.bound, i.peers, i.tickedAt = bound, peers, 0
 	if n := len(peers); n >= i.peak || now.Sub(i.peakAt) >= leftRetention {
 		i.peak, i.peakAt = n, now
 	}
@@ -119,7 +151,10 @@
 		b := i.buckets[c.Name]
 		share := 1 / float64(len(owners))
 		if b == nil {
-			b = &bucket{share: share, at: now.Add(takeOverDelay)}
+			b = &bucket{share: share, at: now.Add(max(0, takeOverDelay-i.listed))}
+			if i.skipWait {
+				b.at = now
+			}
 			if i.fullStart {
 				b.at, b.quota = now, c.Quota
 				b.level = bound.issued(c.Quota) * share
@@ -130,6 +165,9 @@
 		kept[c.Name] = b
 	}
 	i.buckets = kept
+	if len(customers) > 0 || !containsPeer(peers, i.self) {
+		i.listed = 0 // later buckets are new
+	}
 	i.settleAll(now)
 }
 
@@ -148,8 +186,16 @@
 
 // Tick takes into account how long ago the store last answered. It is due at least each half second.
 func (i *Issuer) Tick(now state.Instant, away time.Duration) {
+	if len(i.peers) == 0 {
+		return // no bucket, and a fraction of 0 would count for takeOverDelay after the first list
+	}
+	near := away <= apartAfter
+	if i.tickedAt != 0 && now.Sub(i.tickedAt) < tickInterval && near == i.tickedNear {
+		return
+	}
+	i.tickedAt, i.tickedNear = now, near
+	i.countUnlisted(now)
 	fraction := i.sideFraction(now, away)
-	const slotLength = takeOverDelay / (recentSlots - 1)
 	number := int64(now) / int64(slotLength)
 	for ; i.slot < number; i.slot++ {
 		if number-i.slot > recentSlots {
@@ -166,11 +212,24 @@
 	}
 }
 
+// countUnlisted takes into account instances that have lost the store before this process began, and that no list had since.
+func (i *Issuer) countUnlisted(now state.Instant) {
+	if i.trustNew {
+		return
+	}
+	n := len(i.peers)
+	for name, at := range i.heard {
+		if name != i.self && now.Sub(at) <= heardFor && !containsPeer(i.peers, name) {
+			n++
+		}
+	}
+	if n > i.peak {
+		i.peak, i.peakAt = n, now
+	}
+}
+
 // sideFraction returns the part of all instances that this one's side of a possible partition has at least.
 func (i *Issuer) sideFraction(now state.Instant, away time.Duration) float64 {
-	if len(i.peers) == 0 {
-		return 0
-	}
 	if i.wholeSide {
 		return 1
 	}
@@ -180,19 +239,25 @@
 		}
 		return float64(len(i.peers)) / float64(max(i.peak, len(i.peers)))
 	}
-	if away > apartLimit || i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime {
+	if away > apartLimit {
 		return 0
 	}
-	side := 1 // this instance
+	side, unlisted := 1, false // this instance
 	for name, at := range i.heard {
-		if now.Sub(at) > heardFor {
+		switch {
+		case now.Sub(at) > heardFor:
 			delete(i.heard, name)
-			continue
-		}
-		if name != i.self && containsPeer(i.peers, name) {
+		case name == i.self:
+		case containsPeer(i.peers, name):
 			side++
+		default:
+			unlisted = true
 		}
 	}
+	unsettled := i.contactAt == 0 || now.Sub(i.contactAt)-away < settleTime
+	if unsettled && (unlisted || float64(side) < max(unsettledMin, unsettledPart*float64(len(i.peers)))) && !i.trustNew {
+		return 0
+	}
 	return float64(side) / float64(max(i.peak, len(i.peers)))
 }
 
@@ -234,6 +299,9 @@
 	if b == nil {
 		return Granted{ID: ask.ID, NotOwner: true}
 	}
+	if now.Before(b.at) {
+		return Granted{ID: ask.ID, NotOwner: true}
+	}
 	i.settle(now, b)
 	count := min(ask.Count, MaxBatch, int(b.level))
 	if count <= 0 {
--- a/coordination/quota/permittrouble_test.go
+++ b/coordination/quota/permittrouble_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -75,3 +76,108 @@
 		}
 	}
 }
+
+// massTroubles are faults of many instances at once.
+func massTroubles() []trouble {
+	none := func(*permitSim) {}
+	return []trouble{
+		{"power loss of all for 1.2 s", func(s *permitSim) {
+			for _, i := range s.instances {
+				s.kill(i)
+				s.after(1200*time.Millisecond+s.upTo(300*time.Millisecond), func() { s.restart(i) })
+			}
+		}, none, 0.02},
+		{"55% are killed and restart within 1 s", func(s *permitSim) {
+			for n := range len(s.instances) * 55 / 100 {
+				i := s.instances[(n*7)%len(s.instances)]
+				s.kill(i)
+				s.after(500*time.Millisecond+s.upTo(500*time.Millisecond), func() { s.restart(i) })
+			}
+		}, none, 0.02},
+		{"the store is away for 4.5 s, 45% restart, 6 each 1.3 s", func(s *permitSim) {
+			s.storeAway = true
+			s.after(4500*time.Millisecond, func() { s.storeAway = false })
+			s.rollingRestart(len(s.instances)*45/100, 6, 1300*time.Millisecond)
+		}, none, 0.02},
+		{"the store is away for 4.5 s", func(s *permitSim) {
+			s.storeAway = true
+			s.after(4500*time.Millisecond, func() { s.storeAway = false })
+		}, none, 0.02},
+		{"power loss of all for 1.2 s, and after 4 s the store is away for 4.5 s", func(s *permitSim) {
+			for _, i := range s.instances {
+				s.kill(i)
+				s.after(1200*time.Millisecond+s.upTo(300*time.Millisecond), func() { s.restart(i) })
+			}
+			s.after(4*time.Second, func() { s.storeAway = true })
+			s.after(8500*time.Millisecond, func() { s.storeAway = false })
+		}, none, 0.02},
+		{"23 restart as planned in 5 s", func(s *permitSim) { s.rollingRestart(23, 6, 1300*time.Millisecond) }, none, 0.02},
+	}
+}
+
+// rollingRestart restarts count instances as planned, some at a time.
+func (s *permitSim) rollingRestart(count, together int, interval time.Duration) {
+	if count <= 0 {
+		return
+	}
+	for n := range min(count, together) {
+		s.restartPlanned(s.instances[((count-n)*7)%len(s.instances)])
+	}
+	s.after(interval, func() { s.rollingRestart(count-together, together, interval) })
+}
+
+// Guards against requests below a quota that are refused after faults of many instances: each process would issue nothing for
+// seconds. Callers send a refused request once more, so that demand is higher for about a second after a fault.
+func TestUsualDemandIsServedAfterMassRestarts(t *testing.T) {
+	for n, f := range massTroubles() {
+		s := newPermitSim(uint64(n), 127, 3, simCustomers())
+		s.fastStart, s.retries, s.renewalsOnly = true, true, true
+		s.startAll()
+		for _, c := range []int{0, 1} {
+			s.load(c, s.now.Add(40*time.Second))
+		}
+		s.run(15 * time.Second)
+		large, small := s.state[0], s.state[1]
+		for _, m := range s.state[:2] {
+			m.asked, m.refused, m.down, m.peak = 0, 0, 0, 0
+		}
+		f.begin(s)
+		broken := ""
+		var second []string // refused/asked in each second
+		for range 20 {
+			asked, refused, down := large.asked, large.refused, large.down
+			broken += s.run(time.Second)
+			second = append(second, fmt.Sprintf("%d+%d/%d", large.refused-refused-large.down+down, large.down-down, large.asked-asked))
+		}
+		t.Logf("%s: large %d of %d refused and %d not reached, small %d of %d and %d; peak %.2f; by second %v", f.name, large.refused-large.down, large.asked, large.down,
+			small.refused-small.down, small.asked, small.down, large.peak, second)
+		if broken != "" {
+			t.Errorf("%s: %s", f.name, broken)
+		}
+		if refused := large.refused - large.down; float64(refused) > f.maxRefused*float64(large.asked) {
+			t.Errorf("%s: %d of %d refused", f.name, refused, large.asked)
+		}
+	}
+}
+
+// Guards against owners that issue only part of their share when the store stops answering, though they are in contact with all other
+// instances: they depend on signs of life 3 s after the last answer.
+func TestSharesStayWholeWithoutTheStore(t *testing.T) {
+	for _, instances := range []int{2, 30, 127} {
+		s := newPermitSim(uint64(instances), instances, 3, simCustomers())
+		s.renewalsOnly = true
+		s.startAll()
+		s.run(10 * time.Second)
+		s.storeAway = true
+		lowest := 1.0
+		for range 100 {
+			s.run(100 * time.Millisecond)
+			for _, i := range s.instances {
+				lowest = min(lowest, i.issuer.fraction)
+			}
+		}
+		if t.Logf("%d instances: lowest fraction %.2f", instances, lowest); lowest < 1 {
+			t.Errorf("%d instances: an owner issued only %.2f of its share", instances, lowest)
+		}
+	}
+}
