gossipwire: messages with evidence against requests

Instances have to tell each other which requests end servers. Such a message has its own form, so that instances of earlier versions reject it instead of misreading it.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"azurebridge/coordination/catalog"
+	"azurebridge/coordination/quarantine"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -35,6 +36,7 @@
 	Region      state.RegionName
 	Revision    catalog.Revision
 	EndedLimits []catalog.LimitEnded
+	Evidence    []quarantine.Record // its instants count from the time of sending
 }
 
 // limitAnnouncers is the number of instances that announce the end of a server's limit to all others: more than one, since a message
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -46,6 +46,9 @@
 		f.Ended = append(f.Ended, endedFrame{Server: string(e.Server), Born: e.Born})
 	}
 	data, err := cbor.Marshal(f)
+	if len(m.Evidence) > 0 {
+		data, err = encodeEvidence(m)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
@@ -79,6 +82,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decode message")
 	}
+	if data[0] == evidenceHead {
+		return decodeEvidence(data)
+	}
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode message")
