front: requests that have ended several servers are not tried further

One request was sent to servers 28 times more after three had ended under it, since its callers repeat it and each attempt counted alone. A broken exchange whose process is found to have ended is now evidence on the control goroutine, which instances announce to each other. A quarantined request is refused with 503 before it is sent. TestRequestThatEndsServersIsNotTriedFurther fails without the check in nextServer: all 12 servers end.

--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -23,6 +23,7 @@
 
 	"azurebridge/coordination/catalog"
 	"azurebridge/coordination/gossip"
+	"azurebridge/coordination/quarantine"
 	"azurebridge/internal/wait"
 	"azurebridge/platform"
 	"azurebridge/protocol/factwire"
@@ -121,7 +122,10 @@
 		Name: string(cfg.Name), Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: p.logWriter,
 	})
 	p.limits.Store(&cfg.Limits)
-	core := catalog.NewCore(catalog.Options{Self: cfg.Name, Cold: coldLimit(cfg.Limits)})
+	core := catalog.NewCore(catalog.Options{
+		Self: cfg.Name, Cold: coldLimit(cfg.Limits),
+		OnEvidence: func(now state.Instant, r quarantine.Record) { p.peers.AnnounceEvidence(now, r) },
+	})
 	p.loop = catalog.NewLoop(core, state.MonotonicClock(), func(n catalog.LogEntry) { p.log.Info(n.Message, n.Fields...) })
 	self := routing.Peer{
 		Name: cfg.Name, Region: cfg.Region, Domain: cfg.Domain,
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -24,6 +24,17 @@
 	Peers     []routing.Peer
 	Servers   []dumpServer
 	Counters  map[string]int64
+
+	Quarantined []dumpQuarantined
+}
+
+// dumpQuarantined is a request under which servers have ended. Its target is not known.
+type dumpQuarantined struct {
+	Fingerprint string
+	Route       string
+	Servers     int // ended under it, as far as known to this instance
+	Level       int // number of quarantines in a row
+	LeftMS      int64
 }
 
 type dumpServer struct {
@@ -48,6 +59,11 @@
 	if v.Table != nil {
 		d.Table, d.Routes = v.Table.Version, len(v.Table.Routes)
 	}
+	for _, r := range v.Quarantine.Quarantined() {
+		d.Quarantined = append(d.Quarantined, dumpQuarantined{
+			Fingerprint: r.Fingerprint.String(), Route: r.Route, Servers: len(r.Ends), Level: r.Level, LeftMS: max(0, r.Until.Sub(now).Milliseconds()),
+		})
+	}
 	for domain := range v.Evacuated {
 		d.Evacuated = append(d.Evacuated, string(domain))
 	}
@@ -106,6 +122,8 @@
 	})
 	gauge("control.revision", func(v *catalog.View) int64 { return int64(v.Revision.Number) })
 	p.metrics.GetOrRegister("store.era", metrics.NewFunctionalGauge(func() int64 { return int64(p.store.Era()) }))
+	gauge("control.quarantined", func(v *catalog.View) int64 { return int64(len(v.Quarantine.Quarantined())) })
+	gauge("control.suspects", func(v *catalog.View) int64 { return int64(v.Quarantine.Suspects()) })
 	gauge("control.instances", func(v *catalog.View) int64 { return int64(len(v.Peers)) })
 	gauge("control.store_lost", func(v *catalog.View) int64 {
 		if v.StoreLost {
--- a/coordination/catalog/core.go
+++ b/coordination/catalog/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"azurebridge/coordination/quarantine"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -38,6 +39,8 @@
 type Options struct {
 	Self state.InstanceName
 	Cold quota.ColdLimit
+	// OnEvidence is called with what other instances should learn of a request; nil for none. It must not block.
+	OnEvidence func(now state.Instant, r quarantine.Record)
 }
 
 // Core holds the control state. It belongs to the control goroutine.
@@ -68,6 +71,8 @@
 	verifiedAt    state.Instant
 	unmet         []Verified // proofs of revisions that are not known yet, oldest first
 	lastView      *View
+	breaks        quarantine.Breaks
+	ledger        *quarantine.Ledger
 }
 
 // trackedServer is a backend server with this instance's knowledge of it.
@@ -93,6 +98,7 @@
 	return &Core{
 		opts: opts, servers: make(map[string]*trackedServer), byAddress: make(map[string]string), departed: make(map[string]departure), retained: make(map[string]state.Instant), evacuated: make(map[string]Evacuation),
 		peers: make(map[string]*routing.Peer), counters: make(map[state.ServiceName]*Counters), distances: make(map[state.RegionName]*Distance), dirty: true,
+		ledger: quarantine.NewLedger(opts.Self),
 	}
 }
 
@@ -129,12 +135,18 @@
 		c.opts.Cold, c.dirty = ev.Cold, true
 	case Stopping:
 		c.stopping, c.dirty = true, true
+	default:
+		c.stepQuarantine(now, ev)
 	}
 	c.expire(now)
+	c.judgeQuarantine(now)
 }
 
 // Tick removes missing servers whose grace period has ended, and updates the instance count.
-func (c *Core) Tick(now state.Instant) { c.expire(now) }
+func (c *Core) Tick(now state.Instant) {
+	c.expire(now)
+	c.judgeQuarantine(now)
+}
 
 // NextTick returns when Tick is due, and false when no deadline is pending. Nothing is removed while the store is unavailable, so
 // that no removal is due then.
@@ -158,6 +170,9 @@
 	if c.peakInstances > len(c.peers) {
 		earlier(c.peakAt.Add(instanceRetention))
 	}
+	if at, ok := c.ledger.NextTick(); ok {
+		earlier(at)
+	}
 	return due, due != 0
 }
 
@@ -265,6 +280,9 @@
 		if m != nil && m.Address != b.Address {
 			c.releaseAddress(key, m)
 		}
+		if m != nil {
+			c.serverEnded(now, &m.Backend, m.gauge)
+		}
 		m = &trackedServer{gauge: c.gaugeOf(key, b)}
 		c.servers[key] = m
 	}
--- a/coordination/catalog/departure.go
+++ b/coordination/catalog/departure.go
@@ -57,6 +57,7 @@
 // removeServer removes a server and remembers its process for departureRetention at least.
 func (c *Core) removeServer(now state.Instant, key string, m *trackedServer) {
 	c.logFact("backend server removed", "server", string(m.Name), "service", string(m.Service))
+	c.serverEnded(now, &m.Backend, m.gauge)
 	delete(c.servers, key)
 	c.releaseAddress(key, m)
 	c.forgetDepartures(now)
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -18,7 +18,7 @@
 	v := &View{
 		Table: c.table, Services: make(map[state.ServiceName]*Service), Instances: c.peakInstances, StoreLost: c.storeLost,
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
-		VerifiedAt: c.verifiedAt,
+		VerifiedAt: c.verifiedAt, Quarantine: c.ledger.Snapshot(),
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"azurebridge/coordination/quarantine"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -21,7 +22,8 @@
 	Revision  Revision // store revision that the view reflects
 	// VerifiedAt is the last instant at which the view is proved to have held all changes of the store; 0 without a proof.
 	VerifiedAt state.Instant
-	FleetKey   []byte // signs messages between instances; nil until one is known
+	FleetKey   []byte               // signs messages between instances; nil until one is known
+	Quarantine *quarantine.Snapshot // of requests under which servers have ended; nil without any
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -34,6 +34,7 @@
 func (q *request) forward() {
 	ctx, cancel := q.context()
 	defer cancel()
+	defer q.endProbe()
 	service := q.view.Services[q.service]
 	if service != nil {
 		service.Budget.RecordRequest(q.arrived, *q.m.retry.Load())
@@ -88,6 +89,9 @@
 		}
 	}
 	q.view = m.opts.Loop.View()
+	if q.quarantined(now) {
+		return nil, false
+	}
 	wanted := &placement.Request{
 		Service: q.service, Object: q.affinityKey(), Route: q.route, Customer: q.customer, Region: m.opts.Region,
 		Bulk: m.sizes.bulk(q.route), Tried: q.tried, Random: rand.Float64, TimeLeft: q.timeLeft(),
@@ -201,6 +205,9 @@
 	q.lastOutcome = outcome.String()
 	m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
 	m.latencies.observe("exchange.time_ms", q.service, "region", string(server.Region), took)
+	if out.acceptable() && !a.NotRun {
+		q.reportSuspectAnswered()
+	}
 	if outcome != catalog.Answered {
 		q.log("exchange without success", "server", string(server.Name), "outcome", outcome.String(), "status", a.Status,
 			"signed", a.Signed, "took_ms", took.Milliseconds(), "load", server.Gauge.Load(now))
@@ -294,6 +301,7 @@
 	q.lastOutcome = outcome.String()
 	if !q.callerLeft() { // a missing answer at the timeout counts as a failure of the server, too
 		q.m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
+		q.reportEnded(ctx, server, f)
 		if !f.Dialed && ctx.Err() == nil {
 			q.m.opts.Pool.Drop(server.Name, server.Address)
 		}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -72,6 +72,8 @@
 	// tableWaiters is the number of requests that wait for the first routing table.
 	tableWaiters atomic.Int64
 	Stats        Stats
+
+	checks processChecks
 }
 
 // Stats counts requests by their final answer, and also retries and aborted exchanges.
@@ -98,6 +100,9 @@
 	BadLimits atomic.Uint64 // answers with a limit that is no number, or one beyond its bounds
 	ToLimited atomic.Uint64 // requests that were answered by a backend server with a limit
 	InService atomic.Int64  // requests in progress
+
+	Quarantined atomic.Uint64 // tries not made because servers have ended under the request
+	Probes      atomic.Uint64 // quarantined requests that were sent to find out whether they still end servers
 }
 
 // New returns a Manager.
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -44,6 +44,7 @@
 	admission   admission     // by the last look-up of the customer
 	lastOutcome string        // outcome of the last exchange, or why there was no further one
 	retryAfter  time.Duration // when a refused caller should return; 0 until placement has found no server
+	suspicion   suspicion
 }
 
 // readBody reads the body, or its first maxBufferedBody bytes. It answers and returns false when the request exceeds a limit,
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers connects an instance with the other instances. Readers, the instances that watch the store for others, relay
-// its changes in streams. Datagrams announce the revision up to which the sender knows the store, and ends of servers' limits; a lost or repeated
+// its changes in streams. Datagrams announce the revision up to which the sender knows the store, ends of servers' limits, and evidence against requests; a lost or repeated
 // one does no harm. An instance that the store rejects requests all that another instance knows of the store.
 package peers
 
@@ -36,6 +36,8 @@
 	conn  *net.UDPConn
 	ended chan catalog.LimitEnded // to be announced
 	Stats Stats
+
+	evidence *evidenceQueue
 }
 
 // Stats counts datagrams.
@@ -45,6 +47,8 @@
 	Rejected   atomic.Uint64 // not signed by this fleet, or malformed
 	SendFailed atomic.Uint64
 	EndsMissed atomic.Uint64 // ends of limits that were not announced because the queue was full
+
+	EvidenceMissed atomic.Uint64 // evidence against requests that was not announced because the queue was full
 }
 
 // New opens the UDP socket; Run receives from it.
@@ -53,12 +57,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for messages of other instances")
 	}
-	return &Node{opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds)}, nil
+	return &Node{opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds), evidence: newEvidenceQueue()}, nil
 }
 
 // Run receives datagrams and announces ends of limits until ctx ends, and closes the socket.
 func (n *Node) Run(ctx context.Context) {
 	go n.announceEnds(ctx)
+	go n.announceEvidence(ctx)
+	go n.repeatEvidence(ctx)
 	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
 	defer stop()
 	buffer := make([]byte, gossipwire.MaxSize)
@@ -82,6 +88,10 @@
 		return
 	}
 	n.Stats.Received.Add(1)
+	if len(m.Evidence) > 0 {
+		n.receiveEvidence(m.Evidence)
+		return
+	}
 	n.opts.OnRevision(m.Revision)
 	for _, e := range m.EndedLimits {
 		n.opts.Loop.Observe(e)
