--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -35,6 +35,9 @@
 	// singleHold is how long an instance waits before it announces a request's first end. Innocent requests are usually answered
 	// by another server meanwhile, so that their evidence is never sent.
 	singleHold = 2 * time.Second
+	// probeHold is how long the judgement of a probe that has ended its server waits for the evidence of other instances. The
+	// probes of requests that were quarantined together coincide, and one of them may have ended the server of another.
+	probeHold = 500 * time.Millisecond
 	// clearedRetention is how long a refutation is repeated to other instances that may have missed it.
 	clearedRetention = 20 * time.Second
 	// clockSlack is the max difference of instants between instances, which pass ages: the delays of some messages.
@@ -73,6 +76,8 @@
 	Record
 	announceAt state.Instant // when the record is announced to other instances; 0 for never
 	unjudged   bool          // has new ends
+	judgeAt    state.Instant // not before; 0 for at once
+	excused    bool          // an end after the quarantine did not count, since another request explained it
 	probe      *probe
 }
 
@@ -88,8 +93,10 @@
 	entries  map[Fingerprint]*entry
 	changes  []Change
 	snapshot *Snapshot
-	stale    bool   // the snapshot is outdated
-	Missed   uint64 // ends under requests for which there was no room
+	stale    bool          // the snapshot is outdated
+	changed  bool          // entries have changed since the last Tick
+	due      state.Instant // when Tick is due without a change; 0 for never
+	Missed   uint64        // ends under requests for which there was no room
 }
 
 // NewLedger returns an empty ledger of an instance.
@@ -99,6 +106,7 @@
 
 // Add records that a process has ended under a request. Judge applies the rule.
 func (l *Ledger) Add(now state.Instant, f Fingerprint, route string, end End) {
+	l.changed = true
 	e := l.entryOf(f)
 	if e == nil || !l.addEnd(now, e, end) {
 		return
@@ -117,6 +125,7 @@
 	if e == nil || len(e.Ends) == 0 && e.Level == 0 {
 		return
 	}
+	l.changed = true
 	known := e.Level > 0 || len(e.Ends) > 1 || e.announceAt == 0 // to other instances
 	l.clear(e, now)
 	e.announceAt = 0
@@ -128,7 +137,7 @@
 // ProbeBegun records that this instance sends the request as a probe.
 func (l *Ledger) ProbeBegun(now state.Instant, f Fingerprint) {
 	if e := l.entries[f]; e != nil && e.Level > 0 {
-		e.ProbedUntil, l.stale = now.Add(probeTime), true
+		e.ProbedUntil, l.stale, l.changed = now.Add(probeTime), true, true
 		e.announce(now)
 	}
 }
@@ -147,6 +156,7 @@
 	if !r.plausible(now) {
 		return
 	}
+	l.changed = true
 	e := l.entryOf(r.Fingerprint)
 	if e == nil {
 		return
@@ -188,29 +198,45 @@
 // Judge applies the rule to the requests with new ends. It follows all ends that became known together, so that the failure of a
 // whole domain is recognized.
 func (l *Ledger) Judge(now state.Instant) {
+	if !l.pending(now) {
+		return
+	}
 	for _, e := range l.entries {
-		if !e.unjudged {
+		if !e.unjudged || now.Before(e.judgeAt) {
 			continue
 		}
-		e.unjudged = false
+		e.unjudged, e.judgeAt = false, 0
 		e.Ends = slices.DeleteFunc(slices.Clone(e.Ends), func(x End) bool { return now.Sub(x.At) > evidenceRetention })
 		if len(e.Ends) == 0 {
 			continue
 		}
-		last := e.Ends[len(e.Ends)-1].At
+		last := e.Ends[len(e.Ends)-1]
 		switch {
+		case len(e.Ends) < Threshold && e.Level == 0: // counting takes long with much evidence
 		case e.Level == 0 && (l.count(e, true) >= Threshold || l.count(e, false) >= CertainThreshold):
 			l.quarantine(now, e)
-		case e.Level > 0 && !last.Before(e.Until):
-			l.quarantine(now, e)
+		case e.Level > 0 && !last.At.Before(e.Until):
+			l.judgeProbe(now, e, last)
 		}
 	}
 }
 
+// judgeProbe quarantines a request again whose probe has ended a server. If another request explains the end, a second probe is
+// allowed instead, but no third one.
+func (l *Ledger) judgeProbe(now state.Instant, e *entry, last End) {
+	if e.excused || !l.explained(e, last.Process) {
+		l.quarantine(now, e)
+		return
+	}
+	e.excused, e.ProbedUntil, l.stale = true, 0, true
+	e.probe.taken.Store(0)
+}
+
 func (l *Ledger) quarantine(now state.Instant, e *entry) {
 	e.Level++
 	e.Since, e.Until, e.ProbedUntil, l.stale = now, now.Add(duration(e.Level)), 0, true
 	e.probe.taken.Store(0)
+	e.excused = false
 	e.announce(now)
 	l.changes = append(l.changes, Change{Record: e.Record})
 }
@@ -311,6 +337,9 @@
 	}
 	e.Ends = append(slices.Clip(e.Ends), end)
 	e.unjudged, l.stale = true, true
+	if e.Level > 0 {
+		e.judgeAt = now.Add(probeHold)
+	}
 	return true
 }
 
@@ -321,7 +350,7 @@
 	e.unjudged = len(e.Ends) > 0
 	if e.Level > 0 && !at.Before(e.Since) {
 		l.changes = append(l.changes, Change{Record: e.Record, Cleared: true})
-		e.Level, e.Since, e.Until, e.ProbedUntil = 0, 0, 0, 0
+		e.Level, e.Since, e.Until, e.ProbedUntil, e.judgeAt, e.excused = 0, 0, 0, 0, 0, false
 		e.probe.taken.Store(0)
 	}
 }
@@ -390,31 +419,45 @@
 
 // Tick forgets old evidence and returns the records that other instances should learn now.
 func (l *Ledger) Tick(now state.Instant) []Record {
+	if !l.pending(now) {
+		return nil
+	}
 	var out []Record
 	for f, e := range l.entries {
 		if e.announceAt != 0 && !now.Before(e.announceAt) {
-			e.announceAt = 0
 			out = append(out, e.announced())
+			e.announceAt = 0
+			if again := now.Add(probeHold / 2); again.Before(e.judgeAt) {
+				e.announceAt = again // other instances wait for it, and a datagram may be lost
+			}
 		}
 		if !now.Before(e.forgetAt()) {
 			delete(l.entries, f)
 			l.stale = true
 		}
 	}
+	l.due, l.changed = l.nextDue(), false
 	return out
 }
 
-// NextTick returns when Tick is due; false when never.
-func (l *Ledger) NextTick() (state.Instant, bool) {
+// pending reports whether Judge or Tick may have something to do. They are called after every event of the control goroutine.
+func (l *Ledger) pending(now state.Instant) bool {
+	return l.changed || l.due != 0 && !now.Before(l.due)
+}
+
+// NextTick returns when Tick is due; false when never. It is valid after Tick.
+func (l *Ledger) NextTick() (state.Instant, bool) { return l.due, l.due != 0 }
+
+func (l *Ledger) nextDue() state.Instant {
 	var due state.Instant
 	for _, e := range l.entries {
-		for _, at := range []state.Instant{e.announceAt, e.forgetAt()} {
+		for _, at := range []state.Instant{e.announceAt, e.judgeAt, e.forgetAt()} {
 			if at != 0 && (due == 0 || at.Before(due)) {
 				due = at
 			}
 		}
 	}
-	return due, due != 0
+	return due
 }
 
 // TakeChanges returns the changes of state since the last call.
