quarantine: tests of ended processes, living servers and non-idempotent requests

A server that leaves as planned, one that only drops an answer and one that cannot be reached without a refusal are no evidence. Entries are looked through only after a change, since the control goroutine would do it with every message.

--- a/cmd/azb-front/quarantine_test.go
+++ b/cmd/azb-front/quarantine_test.go
@@ -84,3 +84,41 @@
 	}
 	f.Expect(f.endedServers()).To(Equal(ended))
 }
+
+// Guards against servers that end under a request that must not be repeated: each caller's attempt counts, and the honest answers
+// are 502 when it was sent and 503 when it was not.
+func TestNonIdempotentRequestThatEndsServers(t *testing.T) {
+	f := newFixture(t, 12)
+	for _, s := range f.servers {
+		s.Set(standin.EndOnMarked)
+	}
+	for range 20 {
+		a := f.send(context.Background(), f.client(), http.MethodPost, "/write/"+standin.DeadlyMark, "a donation")
+		want := http.StatusServiceUnavailable
+		if f.runs(a.id) > 0 {
+			want = http.StatusBadGateway
+		}
+		f.Expect(a.status).To(Equal(want))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.Expect(f.endedServers()).To(BeNumerically("<=", maxEnded))
+	a := f.send(context.Background(), f.client(), http.MethodPost, "/write/"+standin.DeadlyMark, "another donation")
+	f.Expect(f.runs(a.id)).To(Equal(1), "another body is another request")
+}
+
+// Guards against the quarantine of requests whose connections break while their servers go on.
+func TestBrokenExchangesOfLivingServersAreNoEvidence(t *testing.T) {
+	f := newFixture(t, 6)
+	for _, s := range f.servers {
+		s.Set(standin.DropAnswer)
+	}
+	for range 10 {
+		f.Expect(f.read().status).To(Equal(http.StatusBadGateway))
+	}
+	f.Consistently(func() bool { return f.program.loop.View().Quarantine.Empty() }, time.Second).Should(BeTrue())
+	for _, s := range f.servers {
+		s.Set(standin.Serve)
+	}
+	f.Eventually(func() int { return f.read().status }, waitTimeout).Should(Equal(http.StatusOK))
+	f.Expect(f.program.front.Stats.Quarantined.Load()).To(BeZero())
+}
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -156,7 +156,6 @@
 	if !r.plausible(now) {
 		return
 	}
-	l.changed = true
 	e := l.entryOf(r.Fingerprint)
 	if e == nil {
 		return
@@ -176,7 +175,7 @@
 func (l *Ledger) mergeQuarantine(now state.Instant, e *entry, r Record) {
 	first := e.Level == 0
 	if r.Level > e.Level || r.Level == e.Level && r.Until.Before(e.Until) {
-		e.Level, e.Since, e.Until, l.stale = r.Level, r.Since, r.Until, true
+		e.Level, e.Since, e.Until, l.stale, l.changed = r.Level, r.Since, r.Until, true, true
 	}
 	if r.ProbedUntil != 0 && !now.Before(e.ProbedUntil) {
 		e.ProbedUntil, l.stale = r.ProbedUntil, true
@@ -306,6 +305,7 @@
 		}
 		e = &entry{Record: Record{Fingerprint: f}, probe: &probe{}}
 		l.entries[f] = e
+		l.changed = true
 	}
 	return e
 }
@@ -336,7 +336,7 @@
 		e.Ends = slices.Delete(slices.Clone(e.Ends), maxEnds-1, maxEnds)
 	}
 	e.Ends = append(slices.Clip(e.Ends), end)
-	e.unjudged, l.stale = true, true
+	e.unjudged, l.stale, l.changed = true, true, true
 	if e.Level > 0 {
 		e.judgeAt = now.Add(probeHold)
 	}
@@ -345,7 +345,7 @@
 
 // clear removes the evidence up to an instant.
 func (l *Ledger) clear(e *entry, at state.Instant) {
-	e.ClearedAt, l.stale = at, true
+	e.ClearedAt, l.stale, l.changed = at, true, true
 	e.Ends = slices.DeleteFunc(slices.Clone(e.Ends), func(x End) bool { return !at.Before(x.At) })
 	e.unjudged = len(e.Ends) > 0
 	if e.Level > 0 && !at.Before(e.Since) {
