--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -200,10 +200,7 @@
 	if !l.pending(now) {
 		return
 	}
-	for _, e := range l.entries {
-		if !e.unjudged || now.Before(e.judgeAt) {
-			continue
-		}
+	for _, e := range l.unjudged(now) {
 		e.unjudged, e.judgeAt = false, 0
 		e.Ends = slices.DeleteFunc(slices.Clone(e.Ends), func(x End) bool { return now.Sub(x.At) > evidenceRetention })
 		if len(e.Ends) == 0 {
@@ -220,6 +217,21 @@
 	}
 }
 
+// unjudged returns the entries with new ends that are to be judged now. Those with the most ends come first, since they may explain
+// the ends of others; the order does not depend on the instance.
+func (l *Ledger) unjudged(now state.Instant) []*entry {
+	var out []*entry
+	for _, e := range l.entries {
+		if e.unjudged && !now.Before(e.judgeAt) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out
+}
+
 // judgeProbe quarantines a request again whose probe has ended a server. If another request explains the end, a second probe is
 // allowed instead, but no third one.
 func (l *Ledger) judgeProbe(now state.Instant, e *entry, last End) {
@@ -437,9 +449,14 @@
 		}
 	}
 	l.due, l.changed = l.nextDue(), false
+	sortRecords(out)
 	return out
 }
 
+func sortRecords(list []Record) {
+	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+}
+
 // pending reports whether Judge or Tick may have something to do. They are called after every event of the control goroutine.
 func (l *Ledger) pending(now state.Instant) bool {
 	return l.changed || l.due != 0 && !now.Before(l.due)
--- a/coordination/quarantine/sim_test.go
+++ b/coordination/quarantine/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +55,7 @@
 	refused   map[Fingerprint]*refusals       // of innocent requests
 	sent      int                             // datagrams
 	served    int
+	requests  int
 }
 
 type refusals struct {
@@ -75,6 +77,7 @@
 }
 
 type simRequest struct {
+	number      int
 	instance    int
 	fingerprint Fingerprint
 	attempts    int
@@ -169,7 +172,8 @@
 
 // call sends a request of a caller, who sends it again and again until it is answered.
 func (s *sim) call(f Fingerprint) {
-	q := &simRequest{instance: s.rng.IntN(s.instances), fingerprint: f, tried: make(map[int]bool)}
+	s.requests++
+	q := &simRequest{number: s.requests, instance: s.rng.IntN(s.instances), fingerprint: f, tried: make(map[int]bool)}
 	q.done = func() { s.after(simPause+s.random(simPause), func() { s.call(f) }) }
 	s.try(q)
 }
@@ -268,7 +272,8 @@
 	for q := range broken {
 		ordered = append(ordered, q)
 	}
-	sortRequests(ordered)
+	// Runs of one seed would differ by the order of a map's keys.
+	slices.SortFunc(ordered, func(a, b *simRequest) int { return a.number - b.number })
 	for _, q := range ordered {
 		in := s.instance[q.instance]
 		b := Break{Fingerprint: q.fingerprint, Route: "read", Process: p, Domain: server.domain, At: s.now}
@@ -293,15 +298,6 @@
 	})
 }
 
-// sortRequests orders requests, since runs of one seed would differ by the order of a map's keys.
-func sortRequests(list []*simRequest) {
-	for i := range list {
-		for j := i; j > 0 && list[j].fingerprint < list[j-1].fingerprint; j-- {
-			list[j], list[j-1] = list[j-1], list[j]
-		}
-	}
-}
-
 func (s *sim) confirmed(i int, breaks []Break) {
 	for _, b := range breaks {
 		s.instance[i].ledger.Add(s.now, b.Fingerprint, b.Route, End{b.Process, b.Domain, b.At})
--- a/coordination/quarantine/snapshot.go
+++ b/coordination/quarantine/snapshot.go
@@ -136,5 +136,6 @@
 			out = append(out, r.Record)
 		}
 	}
+	sortRecords(out)
 	return out
 }
