--- a/coordination/catalog/fact.go
+++ b/coordination/catalog/fact.go
@@ -124,22 +124,22 @@
 // Stopping reports that the process has begun its planned stop.
 type Stopping struct{}
 
-func (Listed) event()         {}
-func (Changed) event()        {}
-func (StoreLost) event()      {}
+func (Listed) event()           {}
+func (Changed) event()          {}
+func (StoreLost) event()        {}
 func (WatchInterrupted) event() {}
 func (LeaseRenewed) event()     {}
-func (StoreRecovered) event() {}
-func (Observed) event()       {}
-func (LimitNamed) event()     {}
-func (LimitEnded) event()     {}
-func (Collect) event()        {}
-func (Limits) event()         {}
-func (Stopping) event()       {}
-func (AskPermits) event()     {}
-func (HeardApart) event()     {}
-func (ContactChecked) event() {}
-func (CollectBuckets) event() {}
+func (StoreRecovered) event()   {}
+func (Observed) event()         {}
+func (LimitNamed) event()       {}
+func (LimitEnded) event()       {}
+func (Collect) event()          {}
+func (Limits) event()           {}
+func (Stopping) event()         {}
+func (AskPermits) event()       {}
+func (HeardApart) event()       {}
+func (ContactChecked) event()   {}
+func (CollectBuckets) event()   {}
 
 // Outcome is how an exchange with a backend server ended.
 type Outcome int
--- a/coordination/catalog/publish.go
+++ b/coordination/catalog/publish.go
@@ -20,6 +20,7 @@
 		Stopping: c.stopping, Evacuated: make(map[state.DomainName]bool), FleetKey: c.fleetKey, Revision: c.revision,
 		VerifiedAt: c.verifiedAt,
 		Customers:  c.opts.Customers, Owners: c.listed, OwnersSeen: c.listChanged, JoinedMS: c.joinedMS,
+		Quarantine: c.ledger.Snapshot(),
 	}
 	for _, e := range c.evacuated {
 		v.Evacuated[e.Domain] = true
--- a/coordination/catalog/view.go
+++ b/coordination/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"azurebridge/coordination/overload"
+	"azurebridge/coordination/quarantine"
 	"azurebridge/coordination/quota"
 	"azurebridge/state"
 	"azurebridge/state/routing"
@@ -24,9 +25,10 @@
 	Revision   Revision // store revision that the view reflects
 	FleetKey   []byte   // signs messages between instances; nil until one is known
 	Customers  quota.CustomerBound
-	Owners     []routing.Peer // that owners of customers follow from: Peers, and instances that have just disappeared together
-	OwnersSeen uint64         // number of changes of Owners
-	JoinedMS   int64          // when this instance joined, in ms since 1970; 0 before the first listing
+	Owners     []routing.Peer       // that owners of customers follow from: Peers, and instances that have just disappeared together
+	OwnersSeen uint64               // number of changes of Owners
+	JoinedMS   int64                // when this instance joined, in ms since 1970; 0 before the first listing
+	Quarantine *quarantine.Snapshot // of requests under which servers have ended; nil without any
 }
 
 // Server returns a backend server of a service, or nil when it must get no requests.
@@ -59,8 +61,8 @@
 
 // Counters are the retry budget and the estimates of a service. They are retained as long as the process runs.
 type Counters struct {
-	Budget quota.RetryBudget
-	Time   ServiceTime
+	Budget   quota.RetryBudget
+	Time     ServiceTime
 	Work     WorkTimes
 	Objects  ObjectShares
 	Pressure overload.Pressure
--- a/protocol/gossipwire/gossipwire.go
+++ b/protocol/gossipwire/gossipwire.go
@@ -55,6 +55,9 @@
 	if m.Permits != nil {
 		return cbor.Marshal(newPermitFrame(m))
 	}
+	if len(m.Evidence) > 0 {
+		return encodeEvidence(m)
+	}
 	f := frame{From: string(m.From), Region: string(m.Region), Number: m.Revision.Number, Era: m.Revision.Era}
 	for _, e := range m.EndedLimits {
 		f.Ended = append(f.Ended, endedFrame{Server: string(e.Server), Born: e.Born})
@@ -89,6 +92,9 @@
 	if data[0] == permitFrameHead {
 		return decodePermits(data)
 	}
+	if data[0] == evidenceHead {
+		return decodeEvidence(data)
+	}
 	var f frame
 	if err := cbor.Unmarshal(data, &f); err != nil {
 		return nil, errors.Wrap(err, "decode message")
--- a/protocol/settings/front.go
+++ b/protocol/settings/front.go
@@ -25,7 +25,7 @@
 	Limits    FrontLimits
 	// OverloadControl is whether objects are spread over more servers under load, and requests are admitted by value.
 	OverloadControl bool
-	LogLevel  string
+	LogLevel        string
 }
 
 // FrontLimits holds limits and times. The retry and cold limits and the quotas hold for all instances of a deployment together, the others for
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -33,6 +33,7 @@
 func (q *request) forward() {
 	ctx, cancel := q.context()
 	defer cancel()
+	defer q.endProbe()
 	service := q.view.Services[q.service]
 	if service != nil {
 		service.Budget.RecordRequest(q.arrived, *q.m.retry.Load())
@@ -88,6 +89,9 @@
 		}
 	}
 	q.view = m.opts.Loop.View()
+	if q.quarantined(now) {
+		return nil, false
+	}
 	wanted := q.wanted(now)
 	choice, reason := placement.Place(q.view, wanted, now)
 	server := choice.Server
@@ -201,6 +205,9 @@
 	q.lastOutcome = outcome.String()
 	m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
 	m.latencies.observe("exchange.time_ms", q.service, "region", string(server.Region), took)
+	if out.acceptable() && !a.NotRun {
+		q.reportSuspectAnswered()
+	}
 	if outcome != catalog.Answered {
 		q.log("exchange without success", "server", string(server.Name), "outcome", outcome.String(), "status", a.Status,
 			"signed", a.Signed, "took_ms", took.Milliseconds(), "load", server.Gauge.Load(now))
@@ -298,6 +305,7 @@
 	q.lastOutcome = outcome.String()
 	if !q.callerLeft() { // a missing answer at the timeout counts as a failure of the server, too
 		q.m.opts.Loop.Observe(catalog.Observed{Server: server.Name, Outcome: outcome})
+		q.reportEnded(ctx, server, f)
 		if !f.Dialed && ctx.Err() == nil {
 			q.m.opts.Pool.Drop(server.Name, server.Address)
 		}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -80,6 +80,8 @@
 	// tableWaiters is the number of requests that wait for the first routing table.
 	tableWaiters atomic.Int64
 	Stats        Stats
+
+	checks processChecks
 }
 
 // Stats counts requests by their final answer, and also retries and aborted exchanges.
@@ -120,6 +122,8 @@
 	RefusedLate       atomic.Uint64
 	RefusedLessUrgent atomic.Uint64
 	RefusedDisplacing atomic.Uint64
+	Quarantined       atomic.Uint64 // tries not made because servers have ended under the request
+	Probes            atomic.Uint64 // quarantined requests that were sent to find out whether they still end servers
 }
 
 // New returns a Manager.
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers connects an instance with the other instances. Readers, the instances that watch the store for others, relay
-// its changes in streams. Datagrams announce the revision up to which the sender knows the store, and ends of servers' limits; a lost or repeated
+// its changes in streams. Datagrams announce the revision up to which the sender knows the store, ends of servers' limits, and evidence against requests; a lost or repeated
 // one does no harm. An instance that the store rejects requests all that another instance knows of the store.
 package peers
 
@@ -41,6 +41,8 @@
 	holders holders
 	Stats   Stats
 	Permits PermitStats
+
+	evidence *evidenceQueue
 }
 
 // Stats counts datagrams.
@@ -50,6 +52,8 @@
 	Rejected   atomic.Uint64 // not signed by this fleet, or malformed
 	SendFailed atomic.Uint64
 	EndsMissed atomic.Uint64 // ends of limits that were not announced because the queue was full
+
+	EvidenceMissed atomic.Uint64 // evidence against requests that was not announced because the queue was full
 }
 
 // New opens the UDP socket; Run receives from it.
@@ -60,7 +64,7 @@
 	}
 	return &Node{
 		opts: opts, conn: conn, ended: make(chan catalog.LimitEnded, maxQueuedEnds), answers: make(chan answerTo, maxQueuedAnswers),
-		holders: newHolders(opts.Loop.Now()),
+		holders: newHolders(opts.Loop.Now()), evidence: newEvidenceQueue(),
 	}, nil
 }
 
@@ -69,6 +73,8 @@
 	go n.announceEnds(ctx)
 	go n.sendAnswers(ctx)
 	go n.reportContact(ctx)
+	go n.announceEvidence(ctx)
+	go n.repeatEvidence(ctx)
 	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
 	defer stop()
 	buffer := make([]byte, gossipwire.MaxSize)
@@ -96,6 +102,10 @@
 		n.receivePermits(m, from)
 		return
 	}
+	if len(m.Evidence) > 0 {
+		n.receiveEvidence(m.Evidence)
+		return
+	}
 	n.opts.OnRevision(m.Revision)
 	for _, e := range m.EndedLimits {
 		n.opts.Loop.Observe(e)
