front: only plain request IDs are logged

Cause: TestKeysAppearNowhere failed once in a run with -race: its malformed requests have their headers in random order, and a folded line behind the request ID puts the key into the ID, which is logged. Change: an ID that is no token, or longer than 128 bytes, is logged as (malformed); servers get it unchanged.

--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"golang.org/x/net/http/httpguts"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 
 // fields returns the log fields that all lines about the request have, names and values in turn.
 func (q *request) fields() []any {
-	out := []any{"request", q.caller.RequestID, "ms", q.m.opts.Loop.Now().Sub(q.arrived).Milliseconds(), "tries", len(q.tried), "sent", q.sent}
+	out := []any{"request", loggedID(q.caller.RequestID), "ms", q.m.opts.Loop.Now().Sub(q.arrived).Milliseconds(), "tries", len(q.tried), "sent", q.sent}
 	if q.route != nil {
 		out = append(out, "route", q.route.Name, "service", string(q.service), "limit_ms", q.timeout.Milliseconds(),
 			"work_ms", q.workEstimate().Milliseconds())
@@ -116,3 +117,15 @@
 	}
 	return 0
 }
+
+// maxLoggedID is the longest request ID that is logged, in bytes.
+const maxLoggedID = 128
+
+// loggedID returns a request ID as it is logged. What is no plain token is replaced: a caller whose header is malformed may have put
+// its customer's key there, for instance in a folded line.
+func loggedID(id string) string {
+	if id == "" || len(id) <= maxLoggedID && httpguts.ValidHeaderFieldName(id) {
+		return id
+	}
+	return "(malformed)"
+}
