--- a/transport/front/decisionlog.go
+++ b/transport/front/decisionlog.go
@@ -1,11 +1,11 @@
 package front
 
 import (
-	"golang.org/x/net/http/httpguts"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/http/httpguts"
 
 	"azurebridge/coordination/catalog"
 )
