front: estimates of overload control are kept only while it is on

They were recorded for each request of all deployments, though nothing reads them while the setting is off, its default. One turned on by a reload begins without estimates, as after a start.

--- a/transport/front/overload.go
+++ b/transport/front/overload.go
@@ -23,8 +23,11 @@
 // priority returns the request's effective priority: its customer's or its route's.
 func (q *request) priority() int { return q.route.PriorityFor(q.customer) }
 
-// recordArrival counts the request for the estimates of its service.
+// recordArrival counts the request for the estimates of its service, which only overload control uses.
 func (q *request) recordArrival(service *catalog.Service) {
+	if !q.m.overload.Load() {
+		return
+	}
 	service.Pressure.Arrived(q.arrived, q.priority(), q.route.TargetLatency)
 	if object := q.affinityKey(); object != "" {
 		service.Objects.Record(object)
@@ -36,6 +39,9 @@
 	if marks.Slowness > 0 {
 		server.Gauge.ReportSlowness(now, marks.Slowness)
 	}
+	if !q.m.overload.Load() {
+		return
+	}
 	utilization := float64(marks.Running+marks.Waiting) / float64(max(1, server.Slots))
 	q.view.Services[q.service].Pressure.Reported(now, utilization, marks.NotRun && !marks.WrongServer)
 }
@@ -44,6 +50,9 @@
 func (q *request) recordWork(server *catalog.Server, took time.Duration, now state.Instant) {
 	service, load := q.view.Services[q.service], server.Gauge.Load(now)
 	service.Time.Record(took, load, server.Slots)
+	if !q.m.overload.Load() {
+		return
+	}
 	service.Work.Record(q.kind, took, load, server.Slots)
 	q.recordServed(now)
 }
