front: close the rest of an answer that is not forwarded to its end

Cause: writeAnswer returned without closing Answer.Rest when the first part of the answer could not be written, and forward dropped answers with a Rest. Only that Close ends the exchange, so that the goroutine which releases the memory of the request waited for ever.

The rest of each answer is now closed on every path.

--- a/transport/backendconn/exchange.go
+++ b/transport/backendconn/exchange.go
@@ -272,9 +272,10 @@
 // sent.
 type restReader struct {
 	io.Reader
-	x     *exchange
-	resp  *http.Response
-	whole bool
+	x      *exchange
+	resp   *http.Response
+	whole  bool
+	closed bool
 }
 
 func (r *restReader) Read(b []byte) (int, error) {
@@ -284,6 +285,10 @@
 }
 
 func (r *restReader) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
 	if r.x.body != nil && r.whole {
 		r.x.release(r.resp)
 		return nil
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -34,6 +34,7 @@
 // writeAnswer forwards a server's answer unchanged. When the server breaks off, the connection to the caller is aborted, so
 // that the answer does not look complete.
 func (q *request) writeAnswer(a *backendconn.Answer) {
+	defer discardRest(a)
 	h := q.w.Header()
 	for name, values := range endToEnd(a.Header) {
 		h[name] = values
@@ -59,7 +60,6 @@
 	if a.Rest == nil {
 		return
 	}
-	defer a.Rest.Close()
 	q.hold.Add(copyCost)
 	if _, err := io.Copy(q.w, a.Rest); err != nil {
 		q.m.Stats.Cut.Add(1)
@@ -68,6 +68,14 @@
 	}
 }
 
+// discardRest closes what has not been read of an answer. Without that, neither the connection to the server nor the memory of a
+// request whose body is still being sent would be released.
+func discardRest(a *backendconn.Answer) {
+	if a != nil && a.Rest != nil {
+		_ = a.Rest.Close() // nothing more is expected of the connection
+	}
+}
+
 // refuse answers 503, which means that the request has not run, with the time after which the caller may retry.
 func (q *request) refuse(reason string, retryAfter time.Duration) {
 	q.m.Stats.Refused.Add(1)
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -40,6 +40,7 @@
 		q.recordArrival(service)
 	}
 	var failure *backendconn.Answer // a server's own failure, forwarded when no other server answers
+	defer func() { discardRest(failure) }()
 	for range maxTries {
 		if !q.readmit() {
 			break
@@ -70,7 +71,10 @@
 			return
 		}
 		if answer.forwardable() {
+			discardRest(failure)
 			failure = answer.Answer
+		} else {
+			discardRest(answer.Answer)
 		}
 		if !q.canRetry() || !q.admitAgain() {
 			break
--- a/transport/front/memory_test.go
+++ b/transport/front/memory_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,7 +15,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"azurebridge/coordination/catalog"
 	"azurebridge/state"
+	"azurebridge/state/routing"
+	"azurebridge/transport/backendconn"
 	"azurebridge/transport/membudget"
 )
 
@@ -75,3 +80,64 @@
 	s.Expect(s.requests()).To(BeEmpty())
 	s.Expect(s.manager.Stats.SlowBodies.Load()).To(Equal(uint64(1)))
 }
+
+// brokenWriter fails after the head of the answer, as the connection of a caller that has left.
+type brokenWriter struct{ accountedRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
+// Guards against memory that is never released when the caller leaves while a server that has answered early, with an answer that
+// is too long to be buffered, still reads the body, and when an answer that is not forwarded ends so.
+func TestMemoryIsReleasedAfterAnEarlyLongAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusRequestTimeout} {
+		s := newFixture(t, 1, dialServer)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		s.Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		go answerEarly(ln, status)
+		s.useServer(ln.Addr().String())
+		budget := membudget.New(64<<20, s.loop.Now)
+		const size = 32 << 20
+		r := httptest.NewRequest(http.MethodPost, "http://x.example/a", io.LimitReader(zeros{}, size))
+		r.RequestURI, r.ContentLength = "/a", size
+		func() {
+			defer func() { _ = recover() }() // the request may abort its connection
+			s.manager.ServeHTTP(brokenWriter{accountedRecorder{httptest.NewRecorder(), budget.Open(busyOwner{})}}, r)
+		}()
+		s.Eventually(budget.Stats.Used.Load, testTimeout).Should(BeZero(), "status %d", status)
+	}
+}
+
+// useServer replaces the only server by the one at the address.
+func (s *fixture) useServer(address string) {
+	b := *s.items[0].Fact.(*routing.Backend)
+	b.Address, b.Born = address, 1
+	s.items[0].Fact = &b
+	s.loop.Send(context.Background(), catalog.Changed{
+		After: catalog.Revision{Number: 1}, Revision: catalog.Revision{Number: 2}, Items: []catalog.Item{s.items[0]},
+	})
+	s.Eventually(func() string { return s.loop.View().Services["svc"].Servers[0].Address }, testTimeout).Should(Equal(address))
+}
+
+// zeros is an endless source of bytes.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// answerEarly answers each request on the listener before it has read the body, with an answer of more than MaxBuffered bytes, and
+// reads nothing more.
+func answerEarly(ln net.Listener, status int) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			const size = 2 * backendconn.MaxBuffered
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, size, strings.Repeat("y", size))
+		}()
+	}
+}
