callerconn: do not close a connection with its lock held

Cause: Close waits for a read in progress. The callback of that read takes the connection's lock when it is about to wait for bytes. Evict, expire, closeIdle and abort held the lock while they closed, so that the two waited for each other; the goroutine that accepts connections then waited for the same lock to look for idle connections.

A connection is now marked as closed with the lock held, and closed without it. The new test hangs on the code before.

--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -305,8 +305,9 @@
 func (c *conn) abort() {
 	c.cancel()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeNow()
+	c.markClosed()
+	c.mu.Unlock()
+	c.closeMarked()
 }
 
 // endedError returns errConnEnded when the connection has been closed or aborted, and nil otherwise. A caller that has only
--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -15,24 +15,42 @@
 // closeIdle closes the connection unless it carries a request. It reports whether the connection is closed.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.idle() {
-		c.closeNow()
+		c.markClosed()
 	}
-	return c.closed
+	c.mu.Unlock()
+	return c.closeMarked()
 }
 
-// closeNow closes the connection, which ends its reader goroutine. c.mu is held on entry.
-func (c *conn) closeNow() {
+// markClosed records that the connection is closed, so that it takes up no further requests. closeMarked follows. c.mu is held on
+// entry.
+func (c *conn) markClosed() {
 	c.closed = true
-	c.Conn.Close()
 	c.changed.Broadcast()
 }
 
+// closeMarked closes a connection that is marked as closed, which ends its reader goroutine. It reports whether it is. c.mu is not
+// held: Close waits for a read in progress, which may wait for c.mu (see source).
+func (c *conn) closeMarked() bool {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		c.Conn.Close()
+	}
+	return closed
+}
+
 // expire closes the connection when it exceeds a limit, and counts which one.
 func (c *conn) expire(now state.Instant, limits routing.Limits) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.markExpired(now, limits)
+	c.mu.Unlock()
+	c.closeMarked()
+}
+
+// markExpired is expire without closing the connection. c.mu is held on entry.
+func (c *conn) markExpired(now state.Instant, limits routing.Limits) {
 	stats := &c.server.Stats
 	age := now.Sub(c.since)
 	switch {
@@ -40,7 +58,7 @@
 	case c.writing != 0 && now.Sub(c.writing) > maxWriteTime:
 		stats.SlowReaders.Add(1)
 		c.cancel()
-		c.closeNow()
+		c.markClosed()
 	case c.closing:
 	case len(c.queue) > 0:
 		if c.leftWithinBody(c.queue[0]) {
@@ -50,10 +68,10 @@
 		c.expireBody(now)
 	case !c.partial && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
 		stats.Idle.Add(1)
-		c.closeNow()
+		c.markClosed()
 	case c.partial && limits.HeaderTimeout > 0 && age > limits.HeaderTimeout:
 		stats.SlowHeaders.Add(1)
-		c.closeNow()
+		c.markClosed()
 	}
 }
 
--- a/transport/callerconn/memory.go
+++ b/transport/callerconn/memory.go
@@ -107,10 +107,11 @@
 	evicted := s.Waiting == membudget.ForRequest || s.Waiting == membudget.ForCaller && now.Sub(s.Since) >= membudget.MinStall
 	if evicted {
 		c.cancel()
-		c.closeNow()
+		c.markClosed()
 	}
 	c.mu.Unlock()
 	if evicted {
+		c.closeMarked()
 		c.server.remove(c)
 	}
 	return evicted
--- a/transport/callerconn/memory_test.go
+++ b/transport/callerconn/memory_test.go
@@ -87,6 +87,44 @@
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
 
+// Guards against a connection that is closed while its reader is about to wait: both then waited for each other, and with them the
+// goroutine that accepts connections, so that the process answered nobody any more.
+func TestConnectionIsClosedWhileItsReaderBeginsToWait(t *testing.T) {
+	c := startBounded(t, http.NotFoundHandler(), 1<<20, 0)
+	caller, nc := tcpPair(t)
+	defer caller.Close()
+	conn := c.add(nc)
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	beforeWait := conn.source.beforeWait
+	conn.source.beforeWait = func() {
+		close(entered)
+		<-proceed
+		beforeWait()
+	}
+	go conn.serve()
+	c.Eventually(entered, testTimeout).Should(BeClosed())
+	evicted := make(chan bool, 1)
+	go func() { evicted <- conn.Evict() }()
+	time.Sleep(50 * time.Millisecond) // until it closes the connection
+	close(proceed)
+	c.Eventually(evicted, testTimeout).Should(Receive(BeTrue()))
+	c.Eventually(c.used, testTimeout).Should(BeZero())
+}
+
+// tcpPair returns both ends of a connection.
+func tcpPair(t *testing.T) (caller, accepted net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	caller, err = net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	accepted, err = ln.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	return caller, accepted
+}
+
 // Guards against connections without bound, against closing one whose request is in progress for a new one, and against closing
 // any other than the one that has been idle for longest.
 func TestIdleConnectionsAreClosedForNewOnes(t *testing.T) {
