front: end the body of a request at the request's timeout

Callers saw: uploads that came piece by piece had no answer at the timeout of their route, for as long as bytes came, and held connections and memory.

Cause: readBody read without regard to the timeout; only 15 s without any byte ended it.

The body now has the timeout of the request as read deadline, and is answered 408 then: nothing has been sent to a server. What is streamed beyond 1 MiB ends with the exchange, as before. TestUploadInPiecesIsAnsweredAtItsTimeout had no answer before and passes.

--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -60,6 +60,15 @@
 // request before. It is called before WriteHeader.
 func (w *response) ReadOn(until <-chan struct{}) { w.readOn = until }
 
+// SetReadDeadline sets until when the body of the request is read; the zero time sets no bound. Reading it fails afterwards with
+// os.ErrDeadlineExceeded. It has the name that http.ResponseController looks for.
+func (w *response) SetReadDeadline(at time.Time) error {
+	if w.exchange.body == nil {
+		return nil
+	}
+	return w.exchange.conn.SetReadDeadline(at)
+}
+
 // WriteHeader writes the head of the answer.
 func (w *response) WriteHeader(status int) {
 	if w.sent {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -113,7 +113,7 @@
 	ToLimited   atomic.Uint64 // requests that were answered by a backend server with a limit
 	// NoMemory counts requests answered 503 because the memory for callers and servers was used up.
 	NoMemory   atomic.Uint64
-	SlowBodies atomic.Uint64 // answered 408: the caller sent nothing of the body for too long
+	SlowBodies atomic.Uint64 // answered 408: the body did not arrive within the timeout, or nothing of it for too long
 	InService  atomic.Int64  // requests in progress
 
 	// Tries that were refused before they were sent, by reason; see package overload.
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -20,6 +20,8 @@
 	maxBufferedBody = 1 << 20
 	// noTableRetryAfter is the Retry-After of an instance that has just started and has no routing table yet.
 	noTableRetryAfter = 500 * time.Millisecond
+	// slowBodyRetryAfter is the Retry-After of a request whose body has not arrived within its timeout.
+	slowBodyRetryAfter = time.Second
 )
 
 // request is one caller's request in progress. One goroutine owns it.
@@ -74,7 +76,7 @@
 		body = http.MaxBytesReader(q.w, q.r.Body, limits.MaxBody)
 	}
 	b := membudget.NewBuffer(q.hold, q.r.ContentLength, maxBufferedBody)
-	err := b.Fill(body)
+	err := q.fillUntilTimeout(b, body)
 	q.body = b.Bytes()
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -86,7 +88,7 @@
 		return false
 	case isTimeout(err):
 		q.m.Stats.SlowBodies.Add(1)
-		q.respond(http.StatusRequestTimeout, "no bytes of the body for too long", 0)
+		q.respond(http.StatusRequestTimeout, "the body did not arrive in time", slowBodyRetryAfter)
 		return false
 	case errors.As(err, &tooLarge):
 		q.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
@@ -99,6 +101,18 @@
 	return true
 }
 
+// fillUntilTimeout reads the body into the buffer until the request's timeout. What follows the buffer is read while a server works,
+// whose exchange has a timeout of its own.
+func (q *request) fillUntilTimeout(b *membudget.Buffer, body io.Reader) error {
+	conn := http.NewResponseController(q.w)
+	_ = conn.SetReadDeadline(time.Now().Add(q.timeLeft())) // fails for a writer that is no connection, and for a closed connection
+	err := b.Fill(body)
+	if err == nil || errors.Is(err, membudget.ErrFull) {
+		_ = conn.SetReadDeadline(time.Time{}) // as above
+	}
+	return err
+}
+
 // headerSize returns the approximate size of the request's header in bytes.
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
