membudget, callerconn: keep room for requests that have arrived

Callers saw: while a crowd sent bodies of the usual size in pieces, four of five ordinary requests were not served, and most of those ended without any answer; bodies in pieces made progress, were small, and so used up the reserve.

Cause: the reserve was for all small requests alike. 4 KiB in 2 s counted as progress. A connection without memory, or beyond the bound, was closed before its request was read. Connections that waited to be closed held memory that nobody could claim, and a search for owners to close that had been fruitless for a large request kept small ones from searching for 50 ms.

Each hold now has a use: large, arriving, connection or small, each with a mark up to which the budget may be used. Progress is 64 KiB in 2 s, only when the memory is used up. Connections that wait to be closed are closed for others. Where there is no room, up to 32 connections are kept until their request has been answered 503 with Retry-After; it has not run. Fruitless searches remember what they found. The memory for sending is reserved when the body has arrived.

--- a/transport/backendconn/answerbody_test.go
+++ b/transport/backendconn/answerbody_test.go
@@ -78,7 +78,7 @@
 		t.Run(c.marks+strconv.Itoa(c.status)+"-"+strconv.Itoa(c.size), func(t *testing.T) {
 			g := NewWithT(t)
 			budget := membudget.New(c.memory, func() state.Instant { return 1 })
-			hold := budget.Open(busyOwner{}).Hold(true)
+			hold := budget.Open(busyOwner{}).Hold(membudget.Small)
 			a, err := answerOf(g, t, c.status, c.marks, c.size, hold)
 			if c.failed {
 				g.Expect(err).To(HaveOccurred())
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -33,15 +33,17 @@
 // the limits. Each request in progress has a goroutine of its own; the one of the oldest request may write.
 type conn struct {
 	net.Conn
-	server  *Server
-	source  *source
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	account *membudget.Account
-	base    *membudget.Hold // of the connection itself
-	head    *membudget.Hold // of the head that is being read; the reader goroutine uses it
-	ctx     context.Context // ends when the caller has left or the connection is aborted
-	cancel  context.CancelFunc
+	server   *Server
+	source   *source
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	account  *membudget.Account
+	base     *membudget.Hold // of the connection itself
+	crowded  bool            // its request is refused, because the server has no room for the connection
+	received *membudget.Hold // of a large receive buffer; nil without one. The reader goroutine uses it
+	head     *membudget.Hold // of the head that is being read; the reader goroutine uses it
+	ctx      context.Context // ends when the caller has left or the connection is aborted
+	cancel   context.CancelFunc
 
 	mu       sync.Mutex
 	changed  sync.Cond   // the queue has become shorter, or the connection ends
@@ -52,16 +54,18 @@
 	since    state.Instant
 	wait     bodyWait
 	writing  state.Instant // start of the current write; 0 when there is none
-	stopping bool          // no further requests are taken up; the last answer says so
-	closing  bool          // the last answer has been sent or is being sent
-	closed   bool          // bytes read afterwards are dropped
+	// lingering is since when the connection has only waited for the caller to close it; 0 when it does not.
+	lingering state.Instant
+	stopping  bool // no further requests are taken up; the last answer says so
+	closing   bool // the last answer has been sent or is being sent
+	closed    bool // bytes read afterwards are dropped
 }
 
 func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
 	c := &conn{Conn: nc, server: s, ctx: ctx, cancel: cancel, since: s.opts.Clock()}
 	c.changed.L = &c.mu
 	c.account = s.opts.Budget.Open(c)
-	c.base = c.account.Hold(true)
+	c.base = c.account.Hold(membudget.Connection)
 	c.source = newSource(nc, c.startHeld)
 	c.source.charge = c.chargeHead
 	c.reader = bufio.NewReaderSize(tracker{c}, readBuffer)
@@ -92,7 +96,7 @@
 // serve is the reader goroutine.
 func (c *conn) serve() {
 	defer c.end()
-	if !c.base.Reserve(connCost) {
+	if !c.reserve() {
 		c.server.Stats.Crowded.Add(1)
 		c.abort()
 	}
@@ -109,6 +113,9 @@
 		return false
 	}
 	c.startHeld()
+	if rejected == nil && c.crowded {
+		rejected = &rejection{http.StatusServiceUnavailable, crowdedReason, &c.server.Stats.Crowded}
+	}
 	if rejected != nil {
 		rejected.count.Add(1)
 		r = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true, Body: http.NoBody}
@@ -253,6 +260,9 @@
 		}
 	}
 	linger := c.closing && !c.closed && c.ctx.Err() == nil
+	if linger {
+		c.lingering = c.server.opts.Clock()
+	}
 	c.mu.Unlock()
 	if linger {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // fails only for a closed connection
--- a/transport/callerconn/memory.go
+++ b/transport/callerconn/memory.go
@@ -19,12 +19,14 @@
 	// bodyStallTime is how long a caller may send nothing of a body that is waited for. It is longer than the deadline of any
 	// request, so that such a request could not be served any more.
 	bodyStallTime = 15 * time.Second
-	// progressStep is the number of bytes of a body that count as progress when the memory is used up: otherwise a caller that
-	// sends single bytes would hold memory for any time.
-	progressStep = 4 << 10
+	// progressStep is the number of bytes of a body that count as progress when the memory is used up: with 4 KiB, a crowd that sent
+	// bodies of the usual size in pieces held the memory until their timeout.
+	progressStep = 64 << 10
 	// lingerBytes bounds what is read and dropped after the last answer, besides lingerTime, in which a link of 200 Mbit/s carries
 	// 12.5 MB.
 	lingerBytes = 16 << 20
+	// maxRefusals bounds the connections, beyond MaxConns or the memory, that are only kept until their request has been refused.
+	maxRefusals = 32
 	// busyRetryAfter is the Retry-After of a request that is refused for lack of memory.
 	busyRetryAfter = "1.00"
 )
@@ -84,12 +86,14 @@
 }
 
 // stalled is Stalled with c.mu held on entry. A connection whose caller accepts no bytes is closed for others even when its last
-// answer is being sent; one that only waits until the caller closes it is not, since that ends within lingerTime.
+// answer is being sent.
 func (c *conn) stalled() membudget.Stall {
 	switch {
 	case c.closed:
 	case c.writing != 0:
 		return membudget.Stall{Waiting: membudget.ForCaller, Since: c.writing}
+	case c.lingering != 0:
+		return membudget.Stall{Waiting: membudget.ForClose, Since: c.lingering}
 	case c.closing:
 	case len(c.queue) == 0:
 		return membudget.Stall{Waiting: membudget.ForRequest, Since: c.since}
@@ -103,8 +107,7 @@
 func (c *conn) Evict() bool {
 	now := c.server.opts.Clock()
 	c.mu.Lock()
-	s := c.stalled()
-	evicted := s.Waiting == membudget.ForRequest || s.Waiting == membudget.ForCaller && now.Sub(s.Since) >= membudget.MinStall
+	evicted := c.stalled().MayClose(now)
 	if evicted {
 		c.cancel()
 		c.markClosed()
@@ -130,7 +133,7 @@
 // chargeHead reserves the memory for n bytes of a head that have been read.
 func (c *conn) chargeHead(n int) bool {
 	if c.head == nil {
-		c.head = c.account.Hold(true)
+		c.head = c.account.Hold(membudget.Arriving)
 	}
 	return c.head.Reserve(int64(n) * headFactor)
 }
@@ -139,18 +142,36 @@
 func (c *conn) freeMemory() {
 	c.head.Free()
 	c.base.Free()
+	c.received.Free()
+	if c.crowded {
+		c.server.refusals.Add(-1)
+	}
 	c.account.Close()
 }
 
 // admit returns the connection of a new caller. With MaxConns connections open, it closes the one that has been idle for longest;
-// when there is none, it closes the new one and returns nil.
+// when there is none, the new one is refused.
 func (s *Server) admit(nc net.Conn) *conn {
-	if s.opts.MaxConns > 0 && s.count() >= s.opts.MaxConns && !s.closeLongestIdle() {
-		s.Stats.Crowded.Add(1)
-		nc.Close()
-		return nil
+	full := s.opts.MaxConns > 0 && s.count() >= s.opts.MaxConns && !s.closeLongestIdle()
+	c := s.add(nc)
+	c.crowded = full
+	return c
+}
+
+// reserve reserves the memory of the connection itself. Without it, or beyond MaxConns, the connection is one of maxRefusals whose
+// request is answered with a refusal; reserve returns false when there are as many already.
+func (c *conn) reserve() bool {
+	if !c.crowded && c.base.Reserve(connCost) {
+		return true
 	}
-	return s.add(nc)
+	if c.server.refusals.Add(1) > maxRefusals {
+		c.server.refusals.Add(-1)
+		c.crowded = false
+		return false
+	}
+	c.crowded = true
+	c.base.Add(connCost)
+	return true
 }
 
 func (s *Server) count() int {
--- a/transport/callerconn/request.go
+++ b/transport/callerconn/request.go
@@ -15,6 +15,9 @@
 // malformedHead is the reason for requests whose head cannot be parsed.
 const malformedHead = "malformed request line or header"
 
+// crowdedReason is the reason for the request of a connection that the server has no room for.
+const crowdedReason = "too many connections, or no memory for another one"
+
 // rejection is the reason for which a request is answered without the handler.
 type rejection struct {
 	status int
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -57,6 +57,8 @@
 	Stats Stats
 	ahead atomic.Int64 // requests in progress behind another one
 
+	refusals atomic.Int64 // connections that are only kept until their request has been refused
+
 	mu   sync.Mutex
 	open map[*conn]struct{}
 }
@@ -71,7 +73,7 @@
 	SlowReaders  atomic.Uint64 // connections closed because the caller did not accept an answer within maxWriteTime
 	SlowBodies   atomic.Uint64 // bodies given up because the caller sent nothing within bodyStallTime
 	Displaced    atomic.Uint64 // idle connections closed for new ones, because MaxConns were open
-	Crowded      atomic.Uint64 // new connections closed for lack of memory, or because MaxConns were open and in use
+	Crowded      atomic.Uint64 // new connections refused for lack of memory, or because MaxConns were open and in use
 	NoMemory     atomic.Uint64 // requests refused for lack of memory for their head
 	LeftInBody   atomic.Uint64 // connections whose caller left before the end of a body that was not being read
 	Malformed    atomic.Uint64 // requests that could not be read
@@ -98,9 +100,7 @@
 			return err
 		default:
 			s.Stats.Accepted.Add(1)
-			if c := s.admit(c); c != nil {
-				go c.serve()
-			}
+			go s.admit(c).serve()
 		}
 	}
 }
--- a/transport/front/memory.go
+++ b/transport/front/memory.go
@@ -30,17 +30,36 @@
 	if !ok {
 		return true
 	}
-	q.hold = w.Memory().Hold(membudget.IsSmall(q.r.ContentLength))
+	q.hold = w.Memory().Hold(q.use())
 	if !q.hold.Reserve(requestCost) {
 		q.refuseForMemory()
 		return false
 	}
-	if q.r.ContentLength != 0 {
-		q.hold.Add(copyCost) // a long body is written with a copy buffer also when it is buffered
-	}
 	return true
 }
 
+// use returns what the memory of the request is for.
+func (q *request) use() membudget.Use {
+	switch {
+	case !membudget.IsSmall(q.r.ContentLength):
+		return membudget.Large
+	case q.r.ContentLength > 0:
+		return membudget.Arriving
+	}
+	return membudget.Small
+}
+
+// reserveForServer reserves the memory that sending the request to a server needs, once its body has arrived or is streamed. It
+// refuses the request and returns false when the memory is used up.
+func (q *request) reserveForServer() bool {
+	q.hold.Arrived()
+	if q.r.ContentLength == 0 || q.hold.Reserve(copyCost) { // a long body is written with a copy buffer also when it is buffered
+		return true
+	}
+	q.refuseForMemory()
+	return false
+}
+
 // refuseForMemory refuses a request, which has not run, and ends its connection: the rest of its body is not read.
 func (q *request) refuseForMemory() {
 	q.m.Stats.NoMemory.Add(1)
--- a/transport/front/memory_test.go
+++ b/transport/front/memory_test.go
@@ -63,7 +63,7 @@
 	}
 	s.Expect(s.manager.Stats.NoMemory.Load()).To(Equal(uint64(2)))
 	s.Expect(budget.Stats.Used.Load()).To(BeZero())
-	held := budget.Open(busyOwner{}).Hold(false)
+	held := budget.Open(busyOwner{}).Hold(membudget.Large)
 	s.Expect(held.Reserve(600 << 10)).To(BeTrue())
 	small := strings.Repeat("x", 60<<10)
 	s.Expect(s.post(budget, strings.NewReader(small), int64(len(small))).Code).To(Equal(http.StatusOK))
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -69,7 +69,7 @@
 		return false
 	}
 	if q.r.ContentLength == 0 {
-		return true
+		return q.reserveForServer()
 	}
 	body := io.Reader(q.r.Body)
 	if limits.MaxBody > 0 {
@@ -81,24 +81,23 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		return q.reserveForServer()
 	case errors.Is(err, membudget.ErrFull):
 		q.rest = b.Rest(body)
+		return q.reserveForServer()
 	case errors.Is(err, membudget.ErrExhausted):
 		q.refuseForMemory()
-		return false
 	case isTimeout(err):
 		q.m.Stats.SlowBodies.Add(1)
 		q.respond(http.StatusRequestTimeout, "the body did not arrive in time", slowBodyRetryAfter)
-		return false
 	case errors.As(err, &tooLarge):
 		q.respond(http.StatusRequestEntityTooLarge, "body too large", 0)
-		return false
 	default:
 		q.m.Stats.Left.Add(1)
 		q.log("request body could not be read", "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	return true
+	return false
 }
 
 // fillUntilTimeout reads the body into the buffer until the request's timeout. What follows the buffer is read while a server works,
--- a/transport/membudget/budget.go
+++ b/transport/membudget/budget.go
@@ -37,7 +37,8 @@
 	used     int64
 	accounts map[*Account]struct{}
 	released chan struct{} // closed at the next release; nil while nobody waits for it
-	scanned  state.Instant // last search that found no owner to close
+	scanned  state.Instant // last search for owners to close that was fruitless
+	found    int64         // bytes that closing owners would have released then
 }
 
 // Stats counts what the budget has decided.
@@ -84,31 +85,52 @@
 // Hold is the memory of one request or one connection. A nil *Hold has no bound. One goroutine at a time uses it.
 type Hold struct {
 	account *Account
-	small   bool
+	use     Use
 	held    int64
 }
 
-// Hold returns an empty hold. A small one may use the reserve while it has up to SmallBytes.
-func (a *Account) Hold(small bool) *Hold {
+// Hold returns an empty hold. One for another use than Large counts as Large beyond SmallBytes.
+func (a *Account) Hold(use Use) *Hold {
 	if a == nil {
 		return nil
 	}
-	return &Hold{account: a, small: small}
+	return &Hold{account: a, use: use}
+}
+
+// Arrived changes the use of a hold from Arriving to Small.
+func (h *Hold) Arrived() {
+	if h != nil && h.use == Arriving {
+		h.use = Small
+	}
 }
 
 // Reserve reserves n bytes. When the budget is used up, it closes owners without progress and waits for their memory for
 // releaseWait at most, and returns false when there is not enough then.
-func (h *Hold) Reserve(n int64) bool { return h.reserve(n, true) }
+func (h *Hold) Reserve(n int64) bool {
+	if h == nil {
+		return true
+	}
+	return h.reserve(n, h.use)
+}
+
+// ReserveFree reserves n bytes, or returns false when they are not free: it closes no owners.
+func (h *Hold) ReserveFree(n int64) bool {
+	if h == nil {
+		return true
+	}
+	missing, _ := h.try(n, h.use)
+	return missing == 0
+}
 
-// reserve is Reserve for a part of the hold that is small or not.
-func (h *Hold) reserve(n int64, small bool) bool {
+// reserve is Reserve for a part of the hold that has the given use.
+func (h *Hold) reserve(n int64, use Use) bool {
 	if h == nil {
 		return true
 	}
 	b := h.account.budget
 	var timeout <-chan time.Time
 	for {
-		missing, released := h.try(n, small)
+		missing, released := h.try(n, use)
 		if missing == 0 {
 			return true
 		}
@@ -132,11 +154,14 @@
 }
 
 // try reserves n bytes, or returns how many are missing and a channel that is closed at the next release.
-func (h *Hold) try(n int64, small bool) (missing int64, released <-chan struct{}) {
+func (h *Hold) try(n int64, use Use) (missing int64, released <-chan struct{}) {
 	b := h.account.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	missing = b.limits.missing(b.used, n, small && h.small && h.held+n <= SmallBytes)
+	if h.held+n > SmallBytes {
+		use = Large
+	}
+	missing = b.limits.missing(b.used, n, use)
 	if missing == 0 {
 		h.change(n)
 		return 0, nil
@@ -196,6 +221,28 @@
 	b.Stats.Used.Store(b.used)
 }
 
+// EvictLongest closes the owner in the middle of a request that has made no progress for longest, and for MinStall at least. It
+// returns false when there is none.
+func (b *Budget) EvictLongest() bool {
+	now := b.clock()
+	var owners []Owner
+	var stalls []Stall
+	b.mu.Lock()
+	for a := range b.accounts {
+		owners = append(owners, a.owner)
+	}
+	b.mu.Unlock()
+	for _, o := range owners { // owners have locks of their own
+		stalls = append(stalls, o.Stalled())
+	}
+	i := LongestIdle(stalls, now)
+	if i < 0 || !owners[i].Evict() {
+		return false
+	}
+	b.Stats.Evicted.Add(1)
+	return true
+}
+
 // makeRoom closes owners without progress, but for the one that asks, to release the missing bytes. It returns false when that
 // would not release enough.
 func (b *Budget) makeRoom(asking *Account, missing int64) bool {
@@ -203,7 +250,7 @@
 	var accounts []*Account
 	var holdings []Holding
 	b.mu.Lock()
-	if b.scanned != 0 && now.Sub(b.scanned) < scanPause {
+	if b.scanned != 0 && now.Sub(b.scanned) < scanPause && missing > b.found {
 		b.mu.Unlock()
 		return false
 	}
@@ -216,11 +263,11 @@
 	for i, a := range accounts { // owners have locks of their own
 		holdings[i].Stall = a.owner.Stalled()
 	}
-	chosen := ToClose(holdings, missing, now)
+	chosen, releasable := ToClose(holdings, missing, now)
 	if chosen == nil {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.scanned = now
+		b.scanned, b.found = now, releasable
 		return false
 	}
 	for _, i := range chosen {
--- a/transport/membudget/buffer.go
+++ b/transport/membudget/buffer.go
@@ -20,7 +20,7 @@
 type Buffer struct {
 	hold  *Hold
 	bound int64  // max size
-	small bool   // see IsSmall
+	small bool   // see IsSmall; a large buffer is for Large, whatever its hold is for
 	next  []byte // a byte that has been read beyond the buffer, if any
 	data  []byte
 }
@@ -90,7 +90,7 @@
 func (b *Buffer) grow() bool {
 	old := int64(cap(b.data))
 	capacity := min(max(minCapacity, 2*old), b.bound)
-	if !b.hold.reserve(capacity, b.small) {
+	if !b.reserve(capacity) {
 		return false
 	}
 	data := make([]byte, len(b.data), capacity)
@@ -101,6 +101,13 @@
 	return true
 }
 
+func (b *Buffer) reserve(n int64) bool {
+	if b.small {
+		return b.hold.Reserve(n)
+	}
+	return b.hold.reserve(n, Large)
+}
+
 func ignoreEOF(err error) error {
 	if err == io.EOF {
 		return nil
--- a/transport/membudget/membudget_test.go
+++ b/transport/membudget/membudget_test.go
@@ -54,32 +54,70 @@
 	g := NewWithT(t)
 	b := New(testBudget, fixedClock(time.Hour))
 	a := b.Open(&owner{})
-	large, small := a.Hold(false), a.Hold(true)
+	large, small := a.Hold(Large), a.Hold(Small)
 	reserve := int64(testBudget) / 3
 	g.Expect(large.Reserve(testBudget - reserve)).To(BeTrue())
 	g.Expect(large.Reserve(2)).To(BeFalse())
 	g.Expect(small.Reserve(SmallBytes)).To(BeTrue())
 	g.Expect(small.Reserve(1)).To(BeFalse(), "a hold that has grown is not small any more")
 	for range 4 {
-		g.Expect(a.Hold(true).Reserve(SmallBytes)).To(BeTrue())
+		g.Expect(a.Hold(Small).Reserve(SmallBytes)).To(BeTrue())
 	}
 	g.Expect(b.Stats.Refused.Load()).To(BeEquivalentTo(2))
 	large.Free()
 	g.Expect(small.Reserve(1)).To(BeTrue())
 }
 
+// Guards against bodies that are sent slowly, and connections that send nothing, which use up what requests need that have arrived.
+func TestUsesLeavePartsToOthers(t *testing.T) {
+	g := NewWithT(t)
+	b := New(testBudget, fixedClock(time.Hour))
+	a := b.Open(&owner{})
+	fill := func(use Use) (n int) {
+		for a.Hold(use).Reserve(SmallBytes / 2) {
+			n++
+		}
+		return n
+	}
+	g.Expect(fill(Arriving)).To(BeNumerically(">", 0))
+	g.Expect(fill(Large)).To(BeZero())
+	g.Expect(fill(Connection)).To(BeNumerically(">", 0))
+	arrived := a.Hold(Arriving)
+	g.Expect(arrived.Reserve(SmallBytes / 2)).To(BeFalse())
+	arrived.Arrived()
+	g.Expect(arrived.Reserve(SmallBytes / 2)).To(BeTrue())
+	g.Expect(fill(Small)).To(BeNumerically(">", 0))
+	g.Expect(b.Stats.Used.Load()).To(BeNumerically("<=", testBudget))
+}
+
+// Guards against a small reservation that is refused although closing an idle owner is enough for it, because a larger one has just
+// found too little to close.
+func TestFruitlessSearchForALargeHoldLeavesSmallOnesTheirs(t *testing.T) {
+	g := NewWithT(t)
+	b := New(testBudget, fixedClock(time.Hour))
+	idle := &owner{stall: Stall{ForRequest, at(time.Minute)}}
+	h := b.Open(idle).Hold(Connection)
+	idle.free = h.Free
+	g.Expect(h.Reserve(SmallBytes)).To(BeTrue())
+	busy := b.Open(&owner{}).Hold(Small)
+	busy.Add(testBudget - SmallBytes)
+	g.Expect(b.Open(&owner{}).Hold(Large).Reserve(1 << 20)).To(BeFalse())
+	g.Expect(b.Open(&owner{}).Hold(Small).Reserve(SmallBytes)).To(BeTrue())
+	g.Expect(idle.evicted).To(BeTrue())
+}
+
 // Guards against a nil account or a budget of 0 that bounds anything.
 func TestNoBudgetSetsNoBound(t *testing.T) {
 	g := NewWithT(t)
 	var none *Budget
 	a := none.Open(nil)
-	h := a.Hold(true)
+	h := a.Hold(Small)
 	g.Expect(h.Reserve(1 << 40)).To(BeTrue())
 	h.Add(1)
 	h.Release(1)
 	h.Free()
 	a.Close()
-	g.Expect(New(0, fixedClock(0)).Open(&owner{}).Hold(false).Reserve(1 << 40)).To(BeTrue())
+	g.Expect(New(0, fixedClock(0)).Open(&owner{}).Hold(Large).Reserve(1 << 40)).To(BeTrue())
 }
 
 // Guards against closing a connection that makes progress, or whose request runs at a server, and against an order other than the
@@ -96,15 +134,23 @@
 		stall(ForCaller, 5*time.Second),
 		stall(ForRequest, 0),
 		{Stall{ForCaller, 0}, 0}, // would release nothing
+		stall(ForClose, 0),
+	}
+	toClose := func(missing int64) []int {
+		chosen, releasable := ToClose(holdings, missing, now)
+		g.Expect(releasable).To(BeEquivalentTo(500))
+		return chosen
 	}
-	g.Expect(ToClose(holdings, 1, now)).To(Equal([]int{4}))
-	g.Expect(ToClose(holdings, 101, now)).To(Equal([]int{4, 1}))
-	g.Expect(ToClose(holdings, 301, now)).To(Equal([]int{4, 1, 3, 5}))
-	g.Expect(ToClose(holdings, 401, now)).To(BeNil(), "closing all of them would not be enough, so that none is closed")
+	g.Expect(toClose(1)).To(Equal([]int{4}))
+	g.Expect(toClose(101)).To(Equal([]int{4, 1}))
+	g.Expect(toClose(201)).To(Equal([]int{4, 1, 7}))
+	g.Expect(toClose(401)).To(Equal([]int{4, 1, 7, 3, 5}))
+	g.Expect(toClose(501)).To(BeNil(), "closing all of them would not be enough, so that none is closed")
 	var stalls []Stall
 	for _, h := range holdings[:6] {
 		stalls = append(stalls, h.Stall)
 	}
+	g.Expect(LongestIdle(append(stalls, holdings[7].Stall), now)).To(Equal(6))
 	g.Expect(LongestIdle(stalls, now)).To(Equal(3))
 	g.Expect(LongestIdle(stalls[:3], now)).To(Equal(1))
 	g.Expect(LongestIdle(stalls[:1], now)).To(Equal(-1))
@@ -118,17 +164,17 @@
 	var owners []*owner
 	for i := range 2 {
 		o := &owner{stall: Stall{ForCaller, at(time.Hour - MinStall*time.Duration(i))}}
-		h := b.Open(o).Hold(false)
+		h := b.Open(o).Hold(Large)
 		g.Expect(h.Reserve(1 << 20)).To(BeTrue())
 		o.free = h.Free
 		owners = append(owners, o)
 	}
 	asking := b.Open(&owner{})
-	g.Expect(asking.Hold(false).Reserve(1 << 20)).To(BeTrue())
+	g.Expect(asking.Hold(Large).Reserve(1 << 20)).To(BeTrue())
 	g.Expect(owners[0].evicted).To(BeFalse())
 	g.Expect(owners[1].evicted).To(BeTrue())
 	g.Expect(b.Stats.Evicted.Load()).To(BeEquivalentTo(1))
-	g.Expect(asking.Hold(false).Reserve(1<<20)).To(BeFalse(), "the others make progress")
+	g.Expect(asking.Hold(Large).Reserve(1<<20)).To(BeFalse(), "the others make progress")
 	g.Expect(b.Stats.Used.Load()).To(BeEquivalentTo(2 << 20))
 }
 
@@ -139,7 +185,7 @@
 		for _, announced := range []int64{-1, int64(size)} {
 			g := NewWithT(t)
 			budget := New(testBudget, fixedClock(0))
-			h := budget.Open(&owner{}).Hold(true)
+			h := budget.Open(&owner{}).Hold(Small)
 			content := make([]byte, size)
 			for i := range content {
 				content[i] = byte(rand.Uint32())
@@ -167,7 +213,7 @@
 // are lost then.
 func TestBufferWithoutMemory(t *testing.T) {
 	g := NewWithT(t)
-	h := New(testBudget, fixedClock(time.Hour)).Open(&owner{}).Hold(false)
+	h := New(testBudget, fixedClock(time.Hour)).Open(&owner{}).Hold(Large)
 	g.Expect(h.Reserve(2<<20 - 3*minCapacity)).To(BeTrue())
 	source := strings.NewReader(strings.Repeat("x", 3*minCapacity))
 	b := NewBuffer(h, -1, 1<<20)
@@ -191,7 +237,7 @@
 			a := b.Open(o)
 			defer a.Close()
 			for range 200 {
-				h := a.Hold(i%2 == 0)
+				h := a.Hold(Use(i % len(fractions)))
 				for range 4 {
 					h.Reserve(rand.Int64N(1 << 20))
 				}
