azb-front: serve all addresses with the bounds of the callers'

Cause: the addresses for look-ups, readiness, other instances, control and metrics were served by net/http with a time-out for heads only, and net/http reads the rest of a body before it answers.

They are now served by callerconn with the same memory budget, a bound on connections for each address, 10 s for a head and 60 s of idle time. No request there has a body, so that an answer to one that has ends the connection. The response writer gets what the relay needs: a write deadline and a flush.

--- a/cmd/azb-front/bounds.go
+++ b/cmd/azb-front/bounds.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"golang.org/x/sys/unix"
-
-	"azurebridge/transport/backendconn"
-)
+import "azurebridge/transport/backendconn"
 
 const (
 	// memoryLimitFraction is the fraction of the process's memory that is set as the Go runtime's soft memory limit, near which
@@ -16,14 +12,13 @@
 	budgetFraction = 0.3
 	// minBudget is the least memory for callers and servers, in bytes: with less, a single large body with its answer would not fit.
 	minBudget = 8 << 20
-	// ownDescriptors is the number of descriptors that the process needs besides the connections of callers and to servers:
-	// listeners, the store, other instances and operators.
-	ownDescriptors = 64
-	// callersFraction is the fraction of the other descriptors for callers' connections. Each request in progress may need a
-	// connection to a server.
-	callersFraction = 0.5
-	// minConns is the least bound on callers' connections.
-	minConns = 8
+	// Fractions of all descriptors for connections at other addresses. Look-ups are short; each other instance of the region may have a
+	// stream of the relay, and a few ask at the address for control.
+	directoryFraction = 1.0 / 8
+	peersFraction     = 1.0 / 8
+	controlFraction   = 1.0 / 16
+	// fewConns bounds the connections of the platform's readiness checks, and those of operators that read metrics.
+	fewConns = 16
 	// aheadMemoryFraction is the fraction of the process's memory that answers may take that wait for an earlier one of their
 	// connection; each has up to backendconn.MaxBuffered bytes.
 	aheadMemoryFraction = 0.25
@@ -46,23 +41,3 @@
 	}
 	return max(minBudget, int64(memoryMegabyte*(1<<20)*budgetFraction))
 }
-
-// descriptorLimit returns the smaller of the settings' and the system's limit on open descriptors, or 0 when there is none.
-func descriptorLimit(setting float64) float64 {
-	var system unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err != nil || system.Cur == unix.RLIM_INFINITY {
-		return setting
-	}
-	if setting == 0 {
-		return float64(system.Cur)
-	}
-	return min(setting, float64(system.Cur))
-}
-
-// maxConns returns the max number of callers' connections; 0 when there is no limit on descriptors.
-func maxConns(descriptors float64) int {
-	if descriptors == 0 {
-		return 0
-	}
-	return max(minConns, int((descriptors-ownDescriptors)*callersFraction))
-}
--- a/cmd/azb-front/bounds_test.go
+++ b/cmd/azb-front/bounds_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"azurebridge/transport/connlimit"
 )
 
 // Guards against bounds that refuse ordinary callers, or overflow, where settings are small, large, decimals or missing.
@@ -14,8 +16,8 @@
 		conns               int
 	}{
 		{0, 0, 0, 0},
-		{0.5, 0.5, minBudget, minConns},
-		{1, 64, minBudget, minConns},
+		{0.5, 0.5, minBudget, connlimit.MinConns},
+		{1, 64, minBudget, connlimit.MinConns},
 		{136, 2870, 42781900, 1403},
 		{136.5, 2869.5, 42939187, 1402},
 		{206, 1 << 20, 64801996, 524256},
@@ -23,9 +25,9 @@
 	} {
 		g := NewWithT(t)
 		g.Expect(budgetBytes(c.memory)).To(Equal(c.budget), "memory %v", c.memory)
-		g.Expect(maxConns(c.descriptors)).To(Equal(c.conns), "descriptors %v", c.descriptors)
+		g.Expect(connlimit.ForCallers(c.descriptors)).To(Equal(c.conns), "descriptors %v", c.descriptors)
 	}
 	g := NewWithT(t)
-	g.Expect(descriptorLimit(10)).To(Equal(10.0), "the smaller one of the settings' and the system's")
-	g.Expect(descriptorLimit(1e15)).To(BeNumerically("<=", 1e15))
+	g.Expect(connlimit.DescriptorLimit(10)).To(Equal(10.0), "the smaller one of the settings' and the system's")
+	g.Expect(connlimit.DescriptorLimit(1e15)).To(BeNumerically("<=", 1e15))
 }
--- a/cmd/azb-front/run.go
+++ b/cmd/azb-front/run.go
@@ -8,8 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,7 +17,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"azurebridge/coordination/catalog"
@@ -35,17 +32,16 @@
 	"azurebridge/transport/backend"
 	"azurebridge/transport/backendconn"
 	"azurebridge/transport/callerconn"
+	"azurebridge/transport/connlimit"
 	"azurebridge/transport/eventlog"
 	"azurebridge/transport/front"
 	"azurebridge/transport/membudget"
 	"azurebridge/transport/metastore"
 	"azurebridge/transport/peers"
-	"azurebridge/transport/status"
 )
 
 // Limits of the HTTP servers, the connections and the memory.
 const (
-	headerTimeout = 10 * time.Second // for reading a request's header, on all addresses but the callers'
 	// sweepInterval is the time between checks for connections that exceed a limit; such a connection is closed with at most
 	// this delay.
 	sweepInterval = 2 * time.Second
@@ -82,6 +78,7 @@
 	relay       *peers.Relay
 	readers     *peers.Subscriber // receives changes from the readers, the instances that watch the store
 	callers     *callerconn.Server
+	others      []address // at which the process listens besides the callers'
 	memory      *membudget.Budget
 	listener    net.Listener // of callers
 }
@@ -133,7 +130,7 @@
 	p.memory = membudget.New(budgetBytes(cfg.Limits.MemoryMegabyte), p.loop.Now)
 	p.callers = callerconn.NewServer(callerconn.Options{
 		Handler: p.front, Clock: p.loop.Now, Log: p.log.Named("callers"), MaxHeader: maxHeaderBytes,
-		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte), MaxConns: maxConns(descriptorLimit(cfg.Limits.MaxDescriptors)), Budget: p.memory,
+		MaxAhead: maxAhead(cfg.Limits.MemoryMegabyte), MaxConns: connlimit.ForCallers(connlimit.DescriptorLimit(cfg.Limits.MaxDescriptors)), Budget: p.memory,
 	})
 	var err error
 	p.peers, err = peers.New(peers.Options{
@@ -143,6 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.others = p.otherAddresses()
 	p.registerMetrics()
 	return p, nil
 }
@@ -205,7 +203,7 @@
 
 // start starts the servers, and the workers until ctx ends. A server that ends sends its error to failed.
 func (p *program) start(ctx context.Context, failed chan<- error) error {
-	if err := p.listen(failed); err != nil {
+	if err := p.listen(ctx, failed); err != nil {
 		return err
 	}
 	for _, work := range []func(context.Context){
@@ -238,41 +236,6 @@
 	}
 }
 
-// newHTTPServer returns a server for an address other than the callers'.
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
-// listen opens the listeners and starts a server on each. A server that ends sends its error to failed.
-func (p *program) listen(failed chan<- error) error {
-	directory := platform.Directory(p.loop.View, p.cfg.Callers.String(), func() time.Duration { return p.limits.Load().LookupTTL })
-	facts := peers.Handler(p.loop, p.relay)
-	for _, s := range []struct {
-		address netip.AddrPort
-		server  interface{ Serve(net.Listener) error }
-	}{
-		{p.cfg.Callers, p.callers},
-		{p.cfg.Ready, newHTTPServer(platform.Ready(p.ready))},
-		{p.cfg.Directory, newHTTPServer(directory)},
-		{p.cfg.Peers, newHTTPServer(facts)},
-		{p.cfg.Control, newHTTPServer(facts)},
-		{p.cfg.Metrics, newHTTPServer(status.Handler(p.metrics, p.dump))},
-	} {
-		if !s.address.IsValid() {
-			continue // an optional address
-		}
-		ln, err := callerconn.Listen(context.Background(), s.address.String())
-		if err != nil {
-			return errors.Wrap(err, "listen")
-		}
-		if s.server == p.callers {
-			p.listener = ln
-		}
-		go func() { failed <- errors.Wrapf(s.server.Serve(ln), "serve %s", s.address) }()
-	}
-	return nil
-}
-
 // askPeers requests the store's items from one other instance, chosen at random. It returns them with their revision, or
 // false when the request fails or the other instance has no revision later than after.
 func (p *program) askPeers(ctx context.Context, after catalog.Revision) ([]catalog.Item, catalog.Revision, bool) {
@@ -324,5 +287,8 @@
 		if table := p.loop.View().Table; table != nil {
 			p.callers.Expire(table.Limits)
 		}
+		for _, a := range p.others {
+			a.server.Expire(otherLimits)
+		}
 	})
 }
--- a/cmd/azb-front/status.go
+++ b/cmd/azb-front/status.go
@@ -105,6 +105,9 @@
 		"front": &p.front.Stats, "connections": &p.pool.Stats, "callers": &p.callers.Stats, "memory": &p.memory.Stats, "store": &p.store.Stats, "follower": &p.follower.Stats, "verifier": &p.verifier.Stats,
 		"peers": &p.peers.Stats, "permits": &p.peers.Permits, "relay": &p.relay.Stats, "readers": &p.readers.Stats, "control.dropped": &p.loop.Dropped, "log.dropped": &p.logWriter.Dropped,
 	})
+	for _, a := range p.others {
+		observe.Register(p.metrics, map[string]any{"listen." + a.name: &a.server.Stats})
+	}
 	gauge := func(name string, read func(v *catalog.View) int64) {
 		p.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return read(p.loop.View()) }))
 	}
--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -39,6 +39,8 @@
 	closes   bool            // the connection ends with this answer
 	readOn   <-chan struct{} // until when the body is read on after the answer; nil for not at all
 	err      error           // of an earlier write
+
+	hasDeadline bool // SetWriteDeadline has been called
 }
 
 // Header returns the headers to be sent.
@@ -69,6 +71,23 @@
 	return w.exchange.conn.SetReadDeadline(at)
 }
 
+// SetWriteDeadline sets until when the next parts of the answer must have been written; the answer is aborted otherwise.
+func (w *response) SetWriteDeadline(at time.Time) error {
+	w.hasDeadline = true
+	return w.exchange.conn.SetWriteDeadline(at)
+}
+
+// FlushError sends what has been written so far. It has the name that http.ResponseController looks for.
+func (w *response) FlushError() error {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.err == nil {
+		w.err = w.exchange.conn.writer.Flush()
+	}
+	return w.err
+}
+
 // WriteHeader writes the head of the answer.
 func (w *response) WriteHeader(status int) {
 	if w.sent {
@@ -153,6 +172,7 @@
 // is not complete.
 func (w *response) finish() error {
 	if !w.sent {
+		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusOK)
 	}
 	switch {
@@ -167,6 +187,9 @@
 	if err := w.exchange.conn.writer.Flush(); err != nil {
 		return err
 	}
+	if w.hasDeadline {
+		_ = w.exchange.conn.SetWriteDeadline(time.Time{}) // fails only for a closed connection
+	}
 	if w.closes {
 		w.exchange.conn.closeAfterAnswer()
 	}
