azb-entry: bound connections, bodies and their time

Nothing bounded the bodies together, their time, the connections or the unread bytes.

Bodies of submissions are in a budget, body_memory_bytes, 256 MiB by default; beyond it a submission is answered 503 "memory", not run, before its claim. A body ends at the deadline of its request or after 15 s without a byte: 408, "body_timeout". Callers' connections are bounded by max_connections, half of the descriptors by default; at the bound one that waits for a request is closed, else the body that has made no progress for longest is ended. Receive buffers have 64 KiB. Operators: 64 connections, 30 s for a request.

--- a/cmd/azb-entry/instance.go
+++ b/cmd/azb-entry/instance.go
@@ -12,6 +12,7 @@
 	"azurebridge/protocol/settings"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/connlimit"
 	"azurebridge/transport/edge"
 	"azurebridge/transport/fleet"
 	"azurebridge/transport/identity"
@@ -32,6 +33,10 @@
 	operators *operators.Manager
 	callers   *http.Server
 	admin     *http.Server
+
+	callersLimit connlimit.Limit
+	adminLimit   connlimit.Limit
+
 	reloaders []identity.Reloader         // of certificates, for SIGHUP
 	runners   []func(ctx context.Context) // workers; start runs each on its own goroutine
 }
@@ -60,11 +65,24 @@
 	}
 	in.wireEdge(client, recorder)
 	in.callers = in.edge.Server()
+	in.callersLimit.Bound(in.callers, callersConns(cfg), in.edge.EvictBody)
 	in.reloaders = useCallersCertificate(in.callers, serverCertificate, id)
 	in.admin = operatorServer(in.operators, id, log)
+	in.adminLimit.Bound(in.admin, maxOperatorConns, nil)
 	return in, nil
 }
 
+// maxOperatorConns bounds the connections at the operators' address.
+const maxOperatorConns = 64
+
+// callersConns returns the max number of callers' connections.
+func callersConns(cfg *settings.Entry) int {
+	if cfg.MaxConns > 0 {
+		return cfg.MaxConns
+	}
+	return connlimit.ForCallers(connlimit.DescriptorLimit(0))
+}
+
 // wireControl creates the control loop and the fleet transport, which depend on each other.
 func (in *instance) wireControl() error {
 	cfg := in.cfg
@@ -112,11 +130,12 @@
 	cfg := in.cfg
 	backends := backend.New(backend.DialFrom(cfg.Callers.Addr()))
 	in.edge = edge.New(edge.Options{
-		Control: in.loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, Blocks: in.blocks.current.Load,
+		Control: in.loop, Backends: backends, MaxBody: cfg.MaxBody, MaxHeader: cfg.MaxHeader, BodyMemory: cfg.BodyMemory, Blocks: in.blocks.current.Load,
 		Log: in.log.Named("edge"), Observe: recorder,
 	})
 	in.operators.SetTrafficSources(operators.TrafficSources{Recorder: recorder, Metrics: observe.Registry(map[string]any{
-		"edge": &in.edge.Stats, "backend": &backends.Counters, "fleet": &in.fleet.Stats, "platform": &client.Calls,
+		"edge": &in.edge.Stats, "memory": in.edge.Memory(), "callers": &in.callersLimit.Stats, "operators": &in.adminLimit.Stats,
+		"backend": &backends.Counters, "fleet": &in.fleet.Stats, "platform": &client.Calls,
 		"identity.refused": &in.identity.Refused, "observe": &recorder.Stats, "control.dropped": &in.loop.Dropped,
 	})})
 }
--- a/cmd/azb-entry/run.go
+++ b/cmd/azb-entry/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +13,7 @@
 
 	"azurebridge/coordination/control"
 	"azurebridge/protocol/settings"
+	"azurebridge/transport/connlimit"
 )
 
 // shutdownDelay is how long the control goroutine keeps running after the last request has ended, so that it can send the
@@ -23,6 +23,9 @@
 // outcomeTimeout bounds how long a stopping instance waits until the outcomes of its last submissions are recorded.
 const outcomeTimeout = 3 * time.Second
 
+// receiveBuffer is the receive buffer of a connection, in bytes. It bounds what waits unread, and carries 6 MB/s over 10 ms.
+const receiveBuffer = 64 << 10
+
 // run starts the entry instance and serves until SIGTERM or SIGINT. With checkOnly it only reads the settings.
 func run(path string, checkOnly bool) error {
 	cfg, err := settings.LoadEntry(path)
@@ -43,11 +46,11 @@
 // serve runs the HTTP servers until SIGTERM or SIGINT, then performs a planned stop. SIGUSR1 writes a dump to stderr,
 // SIGHUP reloads certificates and client blocks.
 func (in *instance) serve(ctx context.Context) error {
-	callersLn, err := net.Listen("tcp", in.cfg.Callers.String())
+	callersLn, err := connlimit.Listen(ctx, in.cfg.Callers.String(), receiveBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	adminLn, err := net.Listen("tcp", in.cfg.Operators.String())
+	adminLn, err := connlimit.Listen(ctx, in.cfg.Operators.String(), receiveBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
--- a/cmd/azb-entry/tls.go
+++ b/cmd/azb-entry/tls.go
@@ -12,6 +12,12 @@
 	"azurebridge/transport/operators"
 )
 
+// Times at the operators' address.
+const (
+	operatorReadTimeout = 30 * time.Second // for a request and its body, a configuration of some MiB at most
+	operatorIdleTimeout = time.Minute
+)
+
 // loadCertificates loads the fleet identity and the callers' server certificate, which is nil without the section
 // callers_tls.
 func loadCertificates(cfg *settings.Entry, log hclog.Logger) (*identity.Identity, *identity.ServerCertificate, error) {
@@ -48,6 +54,7 @@
 func operatorServer(ops *operators.Manager, id *identity.Identity, log hclog.Logger) *http.Server {
 	return &http.Server{
 		Handler: ops.Handler(), TLSConfig: id.Server(identity.RoleOperator, "http/1.1"), ReadHeaderTimeout: time.Second,
+		ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
 		// net/http logs each failed handshake; identity counts refused certificates and logs changes of state.
 		ErrorLog: log.Named("operators").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
--- a/protocol/settings/entry.go
+++ b/protocol/settings/entry.go
@@ -25,6 +25,8 @@
 	CallersTLS CallersTLS
 	MaxBody    int64
 	MaxHeader  int
+	BodyMemory int64         // bytes for bodies of submissions that are in progress
+	MaxConns   int           // callers' connections; 0 for half of the descriptors
 	StopGrace  time.Duration // max wait for requests in flight at a planned stop; 0 means no limit
 	LogLevel   string
 	Blocks     string // file of client blocks; empty for none
@@ -54,6 +56,9 @@
 const (
 	maxBodyLimit   = 1 << 30 // bytes
 	maxHeaderLimit = 1 << 20 // bytes
+	minBodyMemory  = 1 << 20 // bytes
+	maxBodyMemory  = 1 << 40 // bytes
+	maxConnections = 1 << 20
 	maxDuration    = 24 * time.Hour
 	maxTrialDelay  = time.Second
 )
@@ -83,6 +88,8 @@
 	s = f.Section("limits")
 	e.MaxBody = int64(s.Int("max_body_bytes", 64<<20, 0, maxBodyLimit))
 	e.MaxHeader = s.Int("max_header_bytes", 16<<10, 1<<10, maxHeaderLimit)
+	e.BodyMemory = int64(s.Int("body_memory_bytes", 256<<20, minBodyMemory, maxBodyMemory))
+	e.MaxConns = s.Int("max_connections", 0, 0, maxConnections)
 	e.StopGrace = s.Duration("stop_grace", 0, 0, maxDuration)
 	e.LogLevel = readLogLevel(f)
 	e.Blocks = f.Section("blocks").String("file", "")
--- a/transport/edge/fake_test.go
+++ b/transport/edge/fake_test.go
@@ -107,6 +107,11 @@
 }
 
 func newTestEdge(t testing.TB, service state.Service, backends ...http.HandlerFunc) *testEdge {
+	return newLimitedEdge(t, 0, service, backends...)
+}
+
+// newLimitedEdge is newTestEdge with a bound on the memory for bodies, in bytes.
+func newLimitedEdge(t testing.TB, bodyMemory int64, service state.Service, backends ...http.HandlerFunc) *testEdge {
 	f := &testEdge{WithT: NewWithT(t), control: &fakeControl{results: make(map[message.GrantID]message.Result)}}
 	service.Name = "tapes"
 	cfg := &state.Config{
@@ -124,7 +129,7 @@
 	}
 	self := state.Instance{Name: "e", Region: "r", Status: state.InstanceLive}
 	f.control.snapshot.Store(&state.Snapshot{Self: self, Config: cfg, Index: state.NewIndex(cfg), Instances: []state.Instance{self}})
-	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(f.dial), Log: hclog.NewNullLogger(), LookupWait: 300 * time.Millisecond})
+	f.edge = edge.New(edge.Options{Control: f.control, Backends: backend.New(f.dial), Log: hclog.NewNullLogger(), LookupWait: 300 * time.Millisecond, BodyMemory: bodyMemory})
 	f.server = httptest.NewUnstartedServer(nil)
 	f.server.Config = f.edge.Server()
 	f.server.Start()
--- a/transport/edge/forward.go
+++ b/transport/edge/forward.go
@@ -44,6 +44,7 @@
 func (m *Manager) forward(w http.ResponseWriter, rq *request) {
 	if rq.deadline > 0 {
 		rq.expires = time.Now().Add(rq.deadline)
+		rq.body.limit(rq.expires)
 	}
 	if rq.http.ContentLength != 0 {
 		rq.http.Body = http.MaxBytesReader(rq.observed.Unwrap(), rq.http.Body, m.opts.MaxBody)
--- a/transport/edge/request.go
+++ b/transport/edge/request.go
@@ -20,6 +20,7 @@
 	key         string        // idempotency key; empty when absent
 	deadline    time.Duration // 0 means no limit
 	observed    *observe.Request
+	body        *callerBody
 	expires     time.Time     // when the deadline ends; zero means no limit, or that the context holds it
 	maxWait     time.Duration // longest wait for a slot
 	resumeRange *byteRange    // replaces the caller's range when a body is resumed; else nil
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -16,6 +16,7 @@
 	"azurebridge/state"
 	"azurebridge/state/blocks"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/membudget"
 	"azurebridge/transport/observe"
 )
 
@@ -44,6 +45,8 @@
 	MaxBody   int64                  // bytes of a request body
 	MaxHeader int                    // bytes of a request header
 	Blocks    func() *blocks.Regions // returns the client blocks in use, nil for none; may itself be nil
+	// BodyMemory bounds the memory for bodies of submissions in progress, in bytes; 0 means DefaultBodyMemory.
+	BodyMemory int64
 	// LookupWait is how long a stopping instance accepts new requests; 0 means DefaultLookupWait.
 	LookupWait time.Duration
 	Log        hclog.Logger
@@ -55,6 +58,8 @@
 	Requests     atomic.Uint64
 	Lookups      atomic.Uint64
 	Refused      atomic.Uint64 // answered "not run", or failed and safe to repeat
+	NoMemory     atomic.Uint64 // submissions refused because Options.BodyMemory was used up
+	SlowBodies   atomic.Uint64 // submissions whose body did not arrive in time
 	Malformed    atomic.Uint64 // invalid requests, answered 4xx
 	Unknown      atomic.Uint64 // submissions answered "unknown"
 	Retries      atomic.Uint64
@@ -75,6 +80,8 @@
 	opts     Options
 	buffers  sync.Pool
 	stopping atomic.Bool
+	clock    func() state.Instant
+	memory   *membudget.Budget
 	Stats    Stats
 }
 
@@ -95,7 +102,11 @@
 	if opts.Blocks == nil {
 		opts.Blocks = func() *blocks.Regions { return nil }
 	}
-	m := &Manager{opts: opts}
+	if opts.BodyMemory == 0 {
+		opts.BodyMemory = DefaultBodyMemory
+	}
+	m := &Manager{opts: opts, clock: state.MonotonicClock()}
+	m.memory = membudget.New(opts.BodyMemory, m.clock)
 	m.buffers.New = func() any { b := make([]byte, copyBufferSize); return &b }
 	return m
 }
@@ -113,6 +124,13 @@
 	}
 }
 
+// EvictBody ends the reading of the body that has made no progress for longest, so that its connection ends. It returns false when
+// there is none without progress.
+func (m *Manager) EvictBody() bool { return m.memory.EvictLongest() }
+
+// Memory returns the counters of the memory for bodies.
+func (m *Manager) Memory() *membudget.Stats { return &m.memory.Stats }
+
 // connectionClose asks a caller to send no further request on its connection; for HTTP/2 net/http turns it into GOAWAY.
 var connectionClose = []string{"close"}
 
@@ -121,6 +139,8 @@
 	if m.stopping.Load() {
 		w.Header()["Connection"] = connectionClose
 	}
+	body := newCallerBody(w, r, m.clock)
+	defer body.finish()
 	if len(r.URL.Path) > len(callers.PathPrefix) && r.URL.Path[:len(callers.PathPrefix)] == callers.PathPrefix {
 		m.serveSystemPath(w, r)
 		return
@@ -138,7 +158,7 @@
 		return
 	}
 	observed.Identify(s, rq.customer, rq.service.Name)
-	rq.observed = observed
+	rq.observed, rq.body = observed, body
 	if rq.atMostOnce() {
 		m.submit(observed, rq)
 	} else {
--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -16,6 +16,7 @@
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 	"azurebridge/transport/backend"
+	"azurebridge/transport/membudget"
 	"azurebridge/transport/observe"
 )
 
@@ -33,9 +34,10 @@
 type submission struct {
 	*request
 	callerCtx context.Context // ends when the caller disconnects
-	body      []byte          // the whole body, or its beginning when rest is set
-	rest      io.Reader       // what follows body; it can be read once
-	size      int64           // of the whole body in bytes; -1 when unknown
+	memory    *membudget.Hold
+	body      []byte    // the whole body, or its beginning when rest is set
+	rest      io.Reader // what follows body; it can be read once
+	size      int64     // of the whole body in bytes; -1 when unknown
 	claim     *message.ClaimRequest
 	expires   time.Time // when its deadline ends
 }
@@ -49,9 +51,14 @@
 		limit = SubmissionTimeout
 	}
 	sub.expires = time.Now().Add(limit)
-	if p := sub.read(rq.observed.Unwrap(), m.opts.MaxBody); p != nil {
-		m.Stats.Malformed.Add(1)
-		callers.WriteProblem(w, *p, 0)
+	account := m.memory.Open(rq.body)
+	defer account.Close()
+	sub.memory = account.Hold(useOf(rq.http.ContentLength))
+	defer sub.memory.Free()
+	if p, retryAfter := sub.read(rq.observed.Unwrap(), m.opts.MaxBody); p != nil {
+		m.countUnread(p)
+		w.Header()["Connection"] = connectionClose // the rest of the body is not read
+		callers.WriteProblem(w, *p, retryAfter)
 		return
 	}
 	if _, refusal := steering.Regions(rq.snapshot, rq.customer, rq.service.Name, nil); refusal != message.RefusedNone {
@@ -64,30 +71,52 @@
 	m.sendSubmission(w, sub)
 }
 
-// read buffers the body up to MaxBufferedBody.
-func (s *submission) read(w http.ResponseWriter, maxBody int64) *callers.Problem {
-	s.size = s.http.ContentLength
-	if s.size == 0 {
-		return nil
+// useOf returns what the memory of a submission with a body of the announced size is for.
+func useOf(announced int64) membudget.Use {
+	if membudget.IsSmall(announced) {
+		return membudget.Arriving
 	}
-	body := http.MaxBytesReader(w, s.http.Body, maxBody)
-	data, err := io.ReadAll(io.LimitReader(body, MaxBufferedBody+1))
-	if err != nil {
-		p := badRequest("body", err.Error())
-		p.Step = "read request body"
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			p.Status, p.Reason = http.StatusRequestEntityTooLarge, "body_too_large"
-		}
-		return p
+	return membudget.Large
+}
+
+// countUnread counts a submission whose body could not be read.
+func (m *Manager) countUnread(p *callers.Problem) {
+	switch p.Status {
+	case http.StatusServiceUnavailable:
+		m.Stats.NoMemory.Add(1)
+	case http.StatusRequestTimeout:
+		m.Stats.SlowBodies.Add(1)
+	default:
+		m.Stats.Malformed.Add(1)
 	}
-	s.body = data
-	if len(data) > MaxBufferedBody {
-		s.rest = body
-	} else {
-		s.size = int64(len(data))
+}
+
+// read buffers the body up to MaxBufferedBody. It returns the answer to a submission whose body cannot be read, and the time after
+// which its caller may retry.
+func (s *submission) read(w http.ResponseWriter, maxBody int64) (*callers.Problem, time.Duration) {
+	if !s.memory.Reserve(submissionCost) {
+		return s.request.body.problem(membudget.ErrExhausted)
+	}
+	s.size = s.http.ContentLength
+	if s.size == 0 {
+		s.memory.Arrived()
+		return nil, 0
+	}
+	s.request.body.limit(s.expires)
+	source := http.MaxBytesReader(w, s.http.Body, maxBody)
+	buffer := membudget.NewBuffer(s.memory, s.size, MaxBufferedBody)
+	err := buffer.Fill(source)
+	switch {
+	case err == nil:
+		s.size = int64(len(buffer.Bytes()))
+	case errors.Is(err, membudget.ErrFull):
+		s.rest = buffer.Rest(source)
+	default:
+		return s.request.body.problem(err)
 	}
-	return nil
+	s.body = buffer.Bytes()
+	s.memory.Arrived()
+	return nil, 0
 }
 
 // rewind makes the body ready for the next attempt.
