callerconn: admit connections one at a time, and leave new ones their request

The goroutine that accepts connections now reserves their memory, and waits up to 0.2 s for room; those behind wait in the listener's queue. A connection that has waited for less than 50 ms is not closed for others. After a wait in vain the next ones are refused at once for as long.

What a connection to a server may have unread counted 32 KiB for each request until its end, which made TestManyUnreadAnswers refuse an ordinary request (503). It is 16 KiB now, with a larger buffer for answers that do not fit, and is released once the answer has been read whole.

--- a/transport/backend/dial.go
+++ b/transport/backend/dial.go
@@ -16,7 +16,7 @@
 	// receiveBuffer is for the few connections to the store and other instances, whose answers have up to some MiB.
 	receiveBuffer = 256 << 10
 	// ServerReceiveBuffer is the buffer of DialServer, in bytes.
-	ServerReceiveBuffer = 32 << 10
+	ServerReceiveBuffer = 16 << 10
 )
 
 // DialServer opens a connection like Dial with a receive buffer of ServerReceiveBuffer, which may be made larger.
--- a/transport/callerconn/conn.go
+++ b/transport/callerconn/conn.go
@@ -96,10 +96,6 @@
 // serve is the reader goroutine.
 func (c *conn) serve() {
 	defer c.end()
-	if !c.reserve() {
-		c.server.Stats.Crowded.Add(1)
-		c.abort()
-	}
 	for c.takeRequest() {
 	}
 }
--- a/transport/callerconn/memory.go
+++ b/transport/callerconn/memory.go
@@ -25,6 +25,8 @@
 	// lingerBytes bounds what is read and dropped after the last answer, besides lingerTime, in which a link of 200 Mbit/s carries
 	// 12.5 MB.
 	lingerBytes = 16 << 20
+	// minWait is how long a connection must have waited for a request before it is closed for others: the request may be there already.
+	minWait = 50 * time.Millisecond
 	// maxRefusals bounds the connections, beyond MaxConns or the memory, that are only kept until their request has been refused.
 	maxRefusals = 32
 	// busyRetryAfter is the Retry-After of a request that is refused for lack of memory.
@@ -95,7 +97,7 @@
 	case c.lingering != 0:
 		return membudget.Stall{Waiting: membudget.ForClose, Since: c.lingering}
 	case c.closing:
-	case len(c.queue) == 0:
+	case len(c.queue) == 0 && c.server.opts.Clock().Sub(c.since) >= minWait:
 		return membudget.Stall{Waiting: membudget.ForRequest, Since: c.since}
 	case c.wait.active:
 		return membudget.Stall{Waiting: membudget.ForCaller, Since: c.wait.since}
@@ -149,29 +151,47 @@
 	c.account.Close()
 }
 
-// admit returns the connection of a new caller. With MaxConns connections open, it closes the one that has been idle for longest;
-// when there is none, the new one is refused.
+// admit returns the connection of a new caller, whose memory is reserved. With MaxConns connections open, it closes the one that has
+// been idle for longest. When there is no room within maxAdmissionTime, the connection is one of maxRefusals whose request is
+// answered with a refusal; with as many already, it is closed, and admit returns nil.
 func (s *Server) admit(nc net.Conn) *conn {
-	full := s.opts.MaxConns > 0 && s.count() >= s.opts.MaxConns && !s.closeLongestIdle()
 	c := s.add(nc)
-	c.crowded = full
-	return c
-}
-
-// reserve reserves the memory of the connection itself. Without it, or beyond MaxConns, the connection is one of maxRefusals whose
-// request is answered with a refusal; reserve returns false when there are as many already.
-func (c *conn) reserve() bool {
-	if !c.crowded && c.base.Reserve(connCost) {
-		return true
+	if s.awaitRoom(c) {
+		return c
 	}
-	if c.server.refusals.Add(1) > maxRefusals {
-		c.server.refusals.Add(-1)
-		c.crowded = false
-		return false
+	if s.refusals.Add(1) <= maxRefusals {
+		c.crowded = true
+		c.base.Add(connCost)
+		return c
 	}
-	c.crowded = true
-	c.base.Add(connCost)
-	return true
+	s.refusals.Add(-1)
+	s.Stats.Crowded.Add(1)
+	c.abort()
+	c.freeMemory()
+	s.remove(c)
+	return nil
+}
+
+// awaitRoom reserves the memory of a new connection, and waits up to maxAdmissionTime for room. After a wait in vain, it does not wait
+// again for as long. The goroutine that accepts connections calls it.
+func (s *Server) awaitRoom(c *conn) bool {
+	for start := time.Now(); ; time.Sleep(acceptPause) {
+		if s.hasRoom() && c.base.Reserve(connCost) {
+			return true
+		}
+		if start.Before(s.noWaitUntil) {
+			return false
+		}
+		if now := time.Now(); now.Sub(start) >= maxAdmissionTime {
+			s.noWaitUntil = now.Add(maxAdmissionTime)
+			return false
+		}
+	}
+}
+
+// hasRoom reports whether no more than MaxConns connections are open, and closes one when there are more.
+func (s *Server) hasRoom() bool {
+	return s.opts.MaxConns == 0 || s.count() <= s.opts.MaxConns || s.closeLongestIdle()
 }
 
 func (s *Server) count() int {
--- a/transport/callerconn/memory_test.go
+++ b/transport/callerconn/memory_test.go
@@ -103,6 +103,7 @@
 	}
 	go conn.serve()
 	c.Eventually(entered, testTimeout).Should(BeClosed())
+	c.now.Add(int64(minWait))
 	evicted := make(chan bool, 1)
 	go func() { evicted <- conn.Evict() }()
 	time.Sleep(50 * time.Millisecond) // until it closes the connection
--- a/transport/callerconn/server.go
+++ b/transport/callerconn/server.go
@@ -32,6 +32,9 @@
 	lingerTime = 500 * time.Millisecond
 	// acceptPause is the time between two tries to accept a connection while the process is out of descriptors or memory.
 	acceptPause = 20 * time.Millisecond
+	// maxAdmissionTime is how long a new connection waits for room, and with it those behind it. Without it, a crowd that comes again at once
+	// would close the connections of others before their requests have been read.
+	maxAdmissionTime = 200 * time.Millisecond
 )
 
 // Options are the inputs of a Server.
@@ -57,6 +60,8 @@
 	Stats Stats
 	ahead atomic.Int64 // requests in progress behind another one
 
+	noWaitUntil time.Time // until when new connections do not wait for room; the goroutine that accepts connections uses it
+
 	refusals atomic.Int64 // connections that are only kept until their request has been refused
 
 	mu   sync.Mutex
@@ -100,7 +105,9 @@
 			return err
 		default:
 			s.Stats.Accepted.Add(1)
-			go s.admit(c).serve()
+			if c := s.admit(c); c != nil {
+				go c.serve()
+			}
 		}
 	}
 }
--- a/transport/front/answer.go
+++ b/transport/front/answer.go
@@ -35,6 +35,9 @@
 // that the answer does not look complete.
 func (q *request) writeAnswer(a *backendconn.Answer) {
 	defer discardRest(a)
+	if a.Rest == nil && a.Unsent == nil {
+		q.hold.Release(serverCost) // nothing more is read from the server
+	}
 	h := q.w.Header()
 	for name, values := range endToEnd(a.Header) {
 		h[name] = values
--- a/transport/membudget/policy.go
+++ b/transport/membudget/policy.go
@@ -25,7 +25,7 @@
 var fractions = [...]float64{Large: 2.0 / 3, Arriving: 0.81, Connection: 0.9, Small: 1}
 
 const (
-	// SmallBytes is the size up to which a hold may use more than Large, in bytes: a request with a body of 64 KiB needs 88 KiB for
+	// SmallBytes is the size up to which a hold may use more than Large, in bytes: a request with a body of 64 KiB needs 72 KiB for
 	// its goroutines, connections and copies, and 96 KiB while the body's buffer grows for the last time.
 	SmallBytes = 192 << 10
 	// maxSmallBody is the announced size up to which a body or an answer is small, in bytes.
