callerconn: a connection that waits for room is not closed for others itself

closeLongestIdle could choose the new connection for which it made room, once that had waited for 50 ms: it was closed instead of being refused with an answer.

--- a/transport/backendconn/answerbody.go
+++ b/transport/backendconn/answerbody.go
@@ -12,12 +12,12 @@
 // errTooLong means that an answer that is not forwarded as it is read has a body that cannot be held.
 var errTooLong = errors.New("the body is too long for an unsigned or failed answer")
 
-// longReceiveBuffer is the receive buffer for answers that do not fit into the usual one, in bytes: between regions, 70 ms there and back, it carries
-// several MiB a second.
+// longReceiveBuffer is the receive buffer for answers that do not fit into the usual one, in bytes: between regions, 70 ms there and
+// back, it carries several MiB a second.
 const longReceiveBuffer = 256 << 10
 
-// growReceiveBuffer gives the connection a larger receive buffer for an answer that does not fit into the usual one while there is memory for it. It returns the
-// bytes that it has reserved for what may wait there unread.
+// growReceiveBuffer gives the connection a larger receive buffer for an answer that does not fit into the usual one, while there is
+// memory for it. It returns the bytes that it has reserved for what may wait there unread.
 func (x *exchange) growReceiveBuffer(announced int64) (reserved int64) {
 	if announced >= 0 && announced <= backend.ServerReceiveBuffer || !x.request.Memory.ReserveFree(longReceiveBuffer) {
 		return 0
--- a/transport/callerconn/memory.go
+++ b/transport/callerconn/memory.go
@@ -12,7 +12,7 @@
 const (
 	// connCost is what an open connection needs besides heads and requests, in bytes: its two buffers, the stack of its reader
 	// goroutine, a head of up to readBuffer bytes, and its unread bytes.
-	connCost = 24<<10 + receiveBuffer*receiveCost
+	connCost = 24<<10 + receiveBuffer
 	// headFactor is the memory that a byte of a head takes beyond the first readBuffer bytes: a header line of 6 bytes takes up
 	// to 40 as a string and an entry of a slice or map, besides what the garbage collector has not freed yet.
 	headFactor = 8
@@ -176,6 +176,7 @@
 // again for as long. The goroutine that accepts connections calls it.
 func (s *Server) awaitRoom(c *conn) bool {
 	for start := time.Now(); ; time.Sleep(acceptPause) {
+		c.touch()
 		if s.hasRoom() && c.base.Reserve(connCost) {
 			return true
 		}
@@ -189,6 +190,13 @@
 	}
 }
 
+// touch makes the connection the one that has waited for a request for the shortest time.
+func (c *conn) touch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since = c.server.opts.Clock()
+}
+
 // hasRoom reports whether no more than MaxConns connections are open, and closes one when there are more.
 func (s *Server) hasRoom() bool {
 	return s.opts.MaxConns == 0 || s.count() <= s.opts.MaxConns || s.closeLongestIdle()
--- a/transport/callerconn/receive.go
+++ b/transport/callerconn/receive.go
@@ -9,7 +9,8 @@
 )
 
 // Bytes that a connection has received count as memory of the process before it reads them. The system would let them grow to
-// several MiB for each connection.
+// several MiB for each connection. Of the two buffers that it allows, one is reserved: unread bytes are no garbage, which the other
+// half of the soft memory limit is for.
 const (
 	// receiveBuffer is the receive buffer of a connection, in bytes. The system doubles it, and lets up to 1.5 times as many bytes
 	// wait unread. With half of it, segments on the loopback address may not fit.
@@ -17,9 +18,6 @@
 	// longReceiveBuffer is the receive buffer for bodies that are not small, in bytes: over 5 ms, a round trip within a region, 64 MiB
 	// take a second.
 	longReceiveBuffer = 256 << 10
-	// receiveCost is the memory for the unread bytes of a connection with a given receive buffer, as a multiple of its size: half of
-	// the two buffers that the system allows, because they take no garbage collection, which half of the budget allows for.
-	receiveCost = 1
 )
 
 // Listen opens a listener whose connections have a small receive buffer from their first byte.
@@ -35,7 +33,7 @@
 		return
 	}
 	hold := c.account.Hold(membudget.Large)
-	if !hold.ReserveFree(longReceiveBuffer * receiveCost) {
+	if !hold.ReserveFree(longReceiveBuffer) {
 		return
 	}
 	c.received = hold
