backend: an answer whose connection is reset is not taken for whole

Callers saw a part of an answer as a whole one: a server answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was being written.

Cause: a reader and a writer use one socket, and the system reports a reset once. Where the write of the upload takes that error, the next read returns 0 bytes, which is the orderly end of such an answer. net/http's transport, which azb-entry uses, has the same race.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -67,13 +67,22 @@
 // Dialer opens connections; trials replace it to add delay.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
+// detectResets opens a connection that tells a reset from the end of the stream.
+func (d Dialer) detectResets(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return DetectResets(c), nil
+}
+
 // New returns a client that opens connections with dial, or directly when dial is nil.
 func New(dial Dialer) *Client {
 	if dial == nil {
 		dial = DialFrom(netip.Addr{})
 	}
 	base := http.Transport{
-		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
+		DialContext: dial.detectResets, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
 		IdleConnTimeout: IdleConnTimeout, MaxResponseHeaderBytes: MaxResponseHeader,
 		ReadBufferSize: readBuffer, ForceAttemptHTTP2: false,
 	}
--- a/transport/backend/dial.go
+++ b/transport/backend/dial.go
@@ -50,14 +50,14 @@
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return c, nil
+		return DetectResets(c), nil
 	}
 	out, err := newAckConn(tcp)
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	return out, nil
+	return DetectResets(out), nil
 }
 
 func newDialer(receive int) *net.Dialer {
--- a/transport/backendconn/conn.go
+++ b/transport/backendconn/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"azurebridge/protocol/answerhead"
+	"azurebridge/transport/backend"
 )
 
 // Times of idle connections, and bounds of what is read.
@@ -135,6 +136,9 @@
 		return false
 	}
 	rc, err := raw.SyscallConn()
+	if errors.Is(err, backend.ErrNoDescriptor) {
+		return false
+	}
 	if err != nil {
 		return true
 	}
