azb-entry: an answer with a malformed head is no answer

Callers of azb-entry got answers whose head had a blank in a name (`A b: c`), a folded line, or a blank before the colon (`Content-Length : 2`, `Transfer-Encoding : chunked`): the line was passed on, or the body was not the server's. azb-front refuses all of these already.

Cause: azb-entry reads answers with net/http, which accepts such heads, and folds lines so that nothing is left to see afterwards.

The end of a malformed line is not handed to net/http, so that it never reads a whole head. The checks of the status and of two heads in one that azb-entry made afterwards are covered by that and removed.

Status 000 and control bytes were refused before as well.

--- a/protocol/answerhead/answerhead.go
+++ b/protocol/answerhead/answerhead.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -23,43 +24,115 @@
 // Check returns an error unless head is one status line and header lines, each ended by CRLF, and an empty line. A status line
 // within another line means that the beginning of another answer stands before it.
 func Check(head []byte) error {
-	line, rest, ok := bytes.Cut(head, lineEnd)
-	if !ok || !isStatusLine(line) {
-		return ErrStatusLine
+	var s lines
+	for !s.ended {
+		line, rest, ok := bytes.Cut(head, lineEnd)
+		if !ok {
+			return s.malformed()
+		}
+		if err := s.check(line); err != nil {
+			return err
+		}
+		head = rest
 	}
-	if HasStatusLine(string(line[1:])) {
-		return ErrTwoHeads
+	if len(head) > 0 {
+		return ErrHeader
 	}
-	for {
-		line, rest, ok = bytes.Cut(rest, lineEnd)
-		switch {
-		case !ok:
-			return ErrHeader
-		case len(line) == 0 && len(rest) > 0:
-			return ErrHeader
-		case len(line) == 0:
-			return nil
+	return nil
+}
+
+// Checker checks a head that arrives in parts, like Check. The zero value is ready for use.
+type Checker struct {
+	lines lines
+	part  []byte // of a line whose end has not arrived
+}
+
+// Add checks the next bytes. It returns how many of them belong to the head, which has ended when Ended reports so. With an error it
+// returns how many stand before the end of the malformed line.
+func (c *Checker) Add(b []byte) (int, error) {
+	used := 0
+	for !c.lines.ended {
+		end := bytes.IndexByte(b[used:], '\n')
+		if end < 0 {
+			c.part = append(c.part, b[used:]...)
+			return len(b), nil
 		}
-		if err := checkField(line); err != nil {
-			return err
+		c.part = append(c.part, b[used:used+end+1]...)
+		line, ok := bytes.CutSuffix(c.part, lineEnd)
+		if !ok {
+			return used + end, c.lines.malformed()
+		}
+		if err := c.lines.check(line); err != nil {
+			return used + end, err
 		}
+		c.part = c.part[:0]
+		used += end + 1
+	}
+	return used, nil
+}
+
+// Ended reports whether the head has ended.
+func (c *Checker) Ended() bool { return c.lines.ended }
+
+// Informational reports whether the head is that of an informational answer, which another one follows. It is valid once the head has
+// ended.
+func (c *Checker) Informational() bool {
+	return c.lines.status < http.StatusOK && c.lines.status != http.StatusSwitchingProtocols
+}
+
+// lines checks the lines of a head one after another.
+type lines struct {
+	status int  // 0 before the status line
+	ended  bool // by an empty line
+}
+
+// check checks the next line, which is given without its end.
+func (s *lines) check(line []byte) error {
+	switch {
+	case s.status == 0:
+		return s.checkStatusLine(line)
+	case len(line) == 0:
+		s.ended = true
+		return nil
+	}
+	return checkField(line)
+}
+
+func (s *lines) checkStatusLine(line []byte) error {
+	status, ok := parseStatusLine(line)
+	if !ok {
+		return ErrStatusLine
 	}
+	if hasStatusLine(string(line[1:])) {
+		return ErrTwoHeads
+	}
+	s.status = status
+	return nil
 }
 
-// ValidStatus reports whether HTTP defines the class of a status (RFC 9110, section 15).
-func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
+// malformed returns the error for a line that does not end with CRLF.
+func (s *lines) malformed() error {
+	if s.status == 0 {
+		return ErrStatusLine
+	}
+	return ErrHeader
+}
+
+// validStatus reports whether HTTP defines the class of a status (RFC 9110, section 15).
+func validStatus(status int) bool { return status >= 100 && status <= 599 }
 
-// isStatusLine reports whether a line is "HTTP/1.x NNN" with a valid status, with or without a reason.
-func isStatusLine(line []byte) bool {
+// parseStatusLine returns the status of a line "HTTP/1.x NNN", with or without a reason. It returns false for any other line, and for a
+// status that HTTP does not define.
+func parseStatusLine(line []byte) (status int, ok bool) {
 	if !startsStatusLine(string(line)) || line[5] != '1' {
-		return false
+		return 0, false
 	}
 	status, err := strconv.Atoi(string(line[len("HTTP/1.1 "):len("HTTP/1.1 200")]))
-	if err != nil || !ValidStatus(status) {
-		return false
+	if err != nil || !validStatus(status) {
+		return 0, false
 	}
 	reason := line[len("HTTP/1.1 200"):]
-	return len(reason) == 0 || reason[0] == ' ' && httpguts.ValidHeaderFieldValue(string(reason))
+	return status, len(reason) == 0 || reason[0] == ' ' && httpguts.ValidHeaderFieldValue(string(reason))
 }
 
 func checkField(line []byte) error {
@@ -67,14 +140,14 @@
 	switch {
 	case !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)):
 		return ErrHeader
-	case HasStatusLine(string(value)):
+	case hasStatusLine(string(value)):
 		return ErrTwoHeads
 	}
 	return nil
 }
 
-// HasStatusLine reports whether a text contains the beginning of a status line, "HTTP/N.N NNN".
-func HasStatusLine(s string) bool {
+// hasStatusLine reports whether a text contains the beginning of a status line, "HTTP/N.N NNN".
+func hasStatusLine(s string) bool {
 	for {
 		i := strings.Index(s, "HTTP/")
 		if i < 0 {
--- a/protocol/answerhead/answerhead_test.go
+++ b/protocol/answerhead/answerhead_test.go
@@ -1,6 +1,7 @@
 package answerhead
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -36,8 +37,38 @@
 		err := Check([]byte(head))
 		if want == nil {
 			NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%q", head)
-			continue
+		} else {
+			NewWithT(t).Expect(err).To(MatchError(want), "%q", head)
+		}
+		expectSameInParts(t, head, want)
+	}
+}
+
+// expectSameInParts adds a head to a Checker in two parts, with a body behind it, and expects the error of Check: that of the first
+// malformed line, or none until the body.
+func expectSameInParts(t *testing.T, head string, want error) {
+	t.Helper()
+	const body = "A b: c\r\n\r\n"
+	whole, _, ends := strings.Cut(head, "\r\n\r\n")
+	for cut := range len(head) + 1 {
+		g := NewWithT(t)
+		var c Checker
+		n, err := c.Add([]byte(head[:cut]))
+		if err == nil && !c.Ended() {
+			g.Expect(n).To(Equal(cut))
+			var m int
+			m, err = c.Add([]byte(head[cut:] + body))
+			n += m
+		}
+		switch {
+		case err != nil:
+			g.Expect(err).To(MatchError(want), "%q, cut at %d", head, cut)
+			g.Expect(c.Ended()).To(BeFalse())
+		case ends: // what follows the empty line is no part of the head
+			g.Expect(n).To(Equal(len(whole+"\r\n\r\n")), "%q, cut at %d", head, cut)
+			g.Expect(c.Ended()).To(BeTrue())
+		default:
+			g.Expect(want).To(HaveOccurred(), "%q, cut at %d", head, cut)
 		}
-		NewWithT(t).Expect(err).To(MatchError(want), "%q", head)
 	}
 }
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -8,13 +8,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"azurebridge/protocol/answerhead"
 	"azurebridge/protocol/callers"
 	"azurebridge/state"
 )
@@ -67,13 +65,13 @@
 // Dialer opens connections; trials replace it to add delay.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
-// detectResets opens a connection that tells a reset from the end of the stream.
-func (d Dialer) detectResets(ctx context.Context, network, address string) (net.Conn, error) {
+// dialChecked opens a connection that tells a reset from the end of the stream and checks the heads of answers.
+func (d Dialer) dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return DetectResets(c), nil
+	return checkHeads(DetectResets(c)), nil
 }
 
 // New returns a client that opens connections with dial, or directly when dial is nil.
@@ -82,7 +80,7 @@
 		dial = DialFrom(netip.Addr{})
 	}
 	base := http.Transport{
-		DialContext: dial.detectResets, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
+		DialContext: dial.dialChecked, DisableCompression: true, MaxIdleConnsPerHost: MaxIdlePerServer, MaxIdleConns: 0,
 		IdleConnTimeout: IdleConnTimeout, MaxResponseHeaderBytes: MaxResponseHeader,
 		ReadBufferSize: readBuffer, ForceAttemptHTTP2: false,
 	}
@@ -127,11 +125,13 @@
 
 func (c *Client) do(ctx context.Context, call Call) (*http.Response, Proof, error) {
 	cancel := call.Cancel
-	var connected atomic.Bool
+	var conn atomic.Pointer[headConn] // the last one that the request got
 	req := call.Request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			connected.Store(true)
-			limitReceiveBuffer(info.Conn, call.Rate)
+			c := info.Conn.(*headConn)
+			conn.Store(c)
+			c.expectHead()
+			limitReceiveBuffer(c, call.Rate)
 		},
 	}))
 	req.URL.Scheme, req.URL.Host = "http", call.Server.Address.String()
@@ -147,11 +147,11 @@
 	if timer != nil {
 		timer.Stop()
 	}
-	if err == nil && !answerhead.ValidStatus(resp.StatusCode) {
-		resp.Body.Close()
-		err = errors.Errorf("the answer has the status %03d, which HTTP does not define", resp.StatusCode)
-	}
 	if err != nil {
+		used := conn.Load()
+		if used != nil && used.headError() != nil {
+			err = used.headError() // clearer than what net/http reports of a part of the head
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -160,7 +160,7 @@
 			// other servers, which costs about 1 ms each.
 			c.CloseIdle()
 		}
-		if connected.Load() {
+		if used != nil {
 			c.Counters.NoProof.Add(1)
 			return nil, ProofNone, errors.Wrapf(err, "request to backend server %s", call.Server.Name)
 		}
@@ -174,30 +174,20 @@
 	return resp, ProofAnswered, nil
 }
 
-// refused reports whether a backend server has rejected a request without running it. A header that contains a status line consists
-// of parts of two answers, and such an answer proves nothing.
+// refused reports whether a backend server has rejected a request without running it.
 func refused(resp *http.Response) bool {
 	values := resp.Header[callers.HeaderNotRun]
-	if resp.StatusCode != http.StatusServiceUnavailable || len(values) != 1 || values[0] == "" {
-		return false
-	}
-	for _, lines := range resp.Header {
-		if slices.ContainsFunc(lines, answerhead.HasStatusLine) {
-			return false
-		}
-	}
-	return !answerhead.HasStatusLine(resp.Status)
+	return resp.StatusCode == http.StatusServiceUnavailable && len(values) == 1 && values[0] != ""
 }
 
 // limitReceiveBuffer limits the kernel's receive buffer to the bytes that arrive at the rate during MaxRoundTrip, and at least
 // MinReceiveBuffer. A rate of 0 sets no limit.
-func limitReceiveBuffer(c net.Conn, rate int64) {
-	tcp, ok := c.(interface{ SetReadBuffer(bytes int) error })
-	if !ok || rate <= 0 {
+func limitReceiveBuffer(c *headConn, rate int64) {
+	if rate <= 0 {
 		return
 	}
 	size := max(MinReceiveBuffer, int(float64(rate)*MaxRoundTrip.Seconds()))
-	_ = tcp.SetReadBuffer(size) // if this fails, the larger buffer only makes the use of the link less even
+	_ = c.SetReadBuffer(size) // if this fails, the larger buffer only makes the use of the link less even
 }
 
 // ErrFirstByte means that no response header arrived within Call.FirstByte.
--- a/transport/backend/resetconn.go
+++ b/transport/backend/resetconn.go
@@ -94,10 +94,13 @@
 }
 
 // SetReadBuffer sets the size of the system's receive buffer in bytes. It fails with ErrNoDescriptor when there is none.
-func (c *resetConn) SetReadBuffer(bytes int) error {
-	inner, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+func (c *resetConn) SetReadBuffer(bytes int) error { return setReadBuffer(c.Conn, bytes) }
+
+// setReadBuffer sets the size of the receive buffer of a connection that allows it.
+func setReadBuffer(c net.Conn, bytes int) error {
+	tcp, ok := c.(interface{ SetReadBuffer(bytes int) error })
 	if !ok {
 		return ErrNoDescriptor
 	}
-	return inner.SetReadBuffer(bytes)
+	return tcp.SetReadBuffer(bytes)
 }
