answerhead: an HTTP/1.0 answer has no transfer encoding

Callers of azb-front and azb-entry got the raw bytes of chunks, with their sizes, as the body of a 200: a server answered with HTTP/1.0 and Transfer-Encoding: chunked.

Cause: net/http ignores a transfer encoding in HTTP/1.0 answers and reads the body until the end of the connection, or by the Content-Length beside it. The framing of such an answer is faulty (RFC 9112, section 6.1).

answerhead refuses such heads, for both programs.

--- a/protocol/answerhead/answerhead.go
+++ b/protocol/answerhead/answerhead.go
@@ -17,12 +17,14 @@
 	ErrStatusLine = errors.New("malformed status line")
 	ErrHeader     = errors.New("malformed header line")
 	ErrTwoHeads   = errors.New("a status line within the head")
+	ErrFraming    = errors.New("a transfer encoding in an HTTP/1.0 answer")
 )
 
 var lineEnd = []byte("\r\n")
 
 // Check returns an error unless head is one status line and header lines, each ended by CRLF, and an empty line. A status line
-// within another line means that the beginning of another answer stands before it.
+// within another line means that the beginning of another answer stands before it. The head of an HTTP/1.0 answer has no transfer
+// encoding.
 func Check(head []byte) error {
 	var s lines
 	for !s.ended {
@@ -83,6 +85,7 @@
 // lines checks the lines of a head one after another.
 type lines struct {
 	status int  // 0 before the status line
+	http10 bool // the answer is of HTTP/1.0
 	ended  bool // by an empty line
 }
 
@@ -95,7 +98,7 @@
 		s.ended = true
 		return nil
 	}
-	return checkField(line)
+	return s.checkField(line)
 }
 
 func (s *lines) checkStatusLine(line []byte) error {
@@ -106,7 +109,7 @@
 	if hasStatusLine(string(line[1:])) {
 		return ErrTwoHeads
 	}
-	s.status = status
+	s.status, s.http10 = status, bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	return nil
 }
 
@@ -135,11 +138,15 @@
 	return status, len(reason) == 0 || reason[0] == ' ' && httpguts.ValidHeaderFieldValue(string(reason))
 }
 
-func checkField(line []byte) error {
+// checkField checks a header line. The framing of an HTTP/1.0 answer with a transfer encoding is faulty (RFC 9112, section 6.1): net/http
+// ignores the encoding and would take chunks with their sizes for the body.
+func (s *lines) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)):
 		return ErrHeader
+	case s.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
+		return ErrFraming
 	case hasStatusLine(string(value)):
 		return ErrTwoHeads
 	}
--- a/transport/backend/client_test.go
+++ b/transport/backend/client_test.go
@@ -88,6 +88,8 @@
 		"line of blanks":                    "HTTP/1.1 200 OK\r\n \r\n" + rest,
 		"line without a colon":              "HTTP/1.1 200 OK\r\nA\r\n" + rest,
 		"line feeds alone":                  "HTTP/1.1 200 OK\nContent-Length: 4\n\ndone",
+		"HTTP/1.0 in chunks":                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+		"HTTP/1.0 in chunks with a length":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
 		"two heads":                         "HTTP/1.1 503 NoHTTP/1.1 200 OK\r\n" + rest,
 		"informational answer with a blank": "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"answer after an informational one": "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA b: c\r\n" + rest,
