callerconn, edge: an aborted answer without a length ends with a reset

Callers with HTTP/1.0 got a part of an answer as a whole one when a server broke off: from azb-front while a large answer without a length was streamed, from azb-entry while one in chunks was forwarded.

Cause: such a caller gets no length, so that the answer ends with its connection, and an abort closed that in order. It is the same fault as with servers that reset: nothing but a reset tells the two ends apart.

callerconn resets the connection whatever closes it until the body is complete. edge resets it before it aborts the answer; with TLS, the end of which would look orderly as well, below TLS.

Whole answers end in order before and after: TestWholeAnswerWithoutALengthEndsInOrder and TestWholeAnswerToACallerWithHTTP10EndsInOrder, 20 tries each.

--- a/transport/callerconn/limits.go
+++ b/transport/callerconn/limits.go
@@ -124,6 +124,18 @@
 	c.writing = at
 }
 
+// endWithReset sets whether the connection is reset when it is closed, for whatever reason. An answer without a length that ends early
+// would look complete otherwise.
+func (c *conn) endWithReset(reset bool) {
+	linger := -1 // the usual end
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger) // fails only for a connection that has been closed
+	}
+}
+
 // closeAfterAnswer ends the sending side after the last answer. The reader goroutine reads on for lingerTime at most.
 func (c *conn) closeAfterAnswer() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/transport/callerconn/response.go
+++ b/transport/callerconn/response.go
@@ -98,6 +98,9 @@
 		return
 	}
 	w.chooseFraming(status)
+	if w.framing == untilClose {
+		w.exchange.conn.endWithReset(true) // until the body is complete
+	}
 	w.closes = w.exchange.closesWithAnswer(w.framing == untilClose || hasToken(w.Header(), "Connection", "close"))
 	w.writeHead(status)
 }
@@ -187,6 +190,9 @@
 	if err := w.exchange.conn.writer.Flush(); err != nil {
 		return err
 	}
+	if w.framing == untilClose {
+		w.exchange.conn.endWithReset(false)
+	}
 	if w.hasDeadline {
 		_ = w.exchange.conn.SetWriteDeadline(time.Time{}) // fails only for a closed connection
 	}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -119,7 +119,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: m, ReadHeaderTimeout: ReadHeaderTimeout, IdleTimeout: IdleTimeout,
-		MaxHeaderBytes: m.opts.MaxHeader, Protocols: &protocols,
+		MaxHeaderBytes: m.opts.MaxHeader, Protocols: &protocols, ConnContext: withConn,
 		ErrorLog: m.opts.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -231,7 +231,7 @@
 	m.forwardRemainder(w, s, resp, outcome, &result)
 	release()
 	if result == message.ResultFailed && resp.StatusCode < http.StatusInternalServerError {
-		panic(http.ErrAbortHandler)
+		abort(s.http)
 	}
 }
 
--- a/transport/edge/transfer.go
+++ b/transport/edge/transfer.go
@@ -87,10 +87,10 @@
 	switch {
 	case writeErr != nil, readErr != nil && t.rq.http.Context().Err() != nil:
 		t.m.Stats.CallerGone.Add(1)
-		panic(http.ErrAbortHandler)
+		abort(t.rq.http)
 	case readErr != nil:
 		t.m.Stats.CutAnswers.Add(1)
-		panic(http.ErrAbortHandler)
+		abort(t.rq.http)
 	}
 }
 
