edge: a long failure of a server that ends early is aborted

Callers of azb-entry got a part of a server's 5xx answer to a submission as a whole one: an answer in chunks of more than 4 KiB whose server broke off.

Cause: the abort after an early end looked at the result of the attempt, which a 5xx makes a failure already, and left out all 5xx for that. It now looks at whether the body was read to its end.

Evidence: TestLongAnswerToASubmissionThatEndsEarlyDoesNotLookComplete failed for 500 (8,192 bytes without an error) and passed for 200 before; both pass, three runs with -race.

--- a/transport/edge/submission.go
+++ b/transport/edge/submission.go
@@ -228,16 +228,19 @@
 	if complete {
 		return
 	}
-	m.forwardRemainder(w, s, resp, outcome, &result)
+	whole := m.forwardRemainder(w, s, resp, outcome)
+	if !whole {
+		result = message.ResultFailed
+	}
 	release()
-	if result == message.ResultFailed && resp.StatusCode < http.StatusInternalServerError {
+	if !whole {
 		abort(s.http)
 	}
 }
 
 // forwardRemainder forwards the rest of an answer that is too large to be recorded, and records the outcome without the body.
-// When the answer ends early, the caller cannot know the outcome, so it is recorded as unknown.
-func (m *Manager) forwardRemainder(w http.ResponseWriter, s *submission, resp *http.Response, outcome message.Outcome, result *message.Result) {
+// When the answer ends early, the caller cannot know the outcome, so it is recorded as unknown, and whole is false.
+func (m *Manager) forwardRemainder(w http.ResponseWriter, s *submission, resp *http.Response, outcome message.Outcome) (whole bool) {
 	buf := m.buffers.Get().(*[]byte)
 	n, readErr, writeErr := stream(w, resp.Body, *buf)
 	m.buffers.Put(buf)
@@ -248,10 +251,10 @@
 	outcome.Body, outcome.Omitted = nil, true
 	if readErr != nil {
 		m.Stats.CutAnswers.Add(1)
-		*result = message.ResultFailed
 		outcome = message.Outcome{Kind: message.OutcomeUnknown}
 	}
 	m.reportOutcome(s, outcome)
+	return readErr == nil
 }
 
 // maxRecordedContentType bounds the content type of a recorded answer, in bytes.
--- a/transport/edge/submission_test.go
+++ b/transport/edge/submission_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -279,3 +280,22 @@
 	f.Expect(a.Outcome).To(Equal("unknown"), "the recorded outcome is the one that was answered")
 	f.Expect(f.callCount()).To(Equal(1))
 }
+
+// Guards against a part of a long answer that a caller takes for the whole one, whatever its status, and against recording it as whole.
+func TestLongAnswerToASubmissionThatEndsEarlyDoesNotLookComplete(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			f := newFixture(t, func(_ int, w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, strings.Repeat("x", 2*message.MaxOutcomeBody)) // the instance may have left
+				w.(http.Flusher).Flush()
+				time.Sleep(50 * time.Millisecond) // the head has been forwarded
+				panic(http.ErrAbortHandler)
+			})
+			a, err := f.postContext(context.Background(), "key-1", "a donation")
+			f.Expect(err).To(HaveOccurred(), "status %d, %d bytes", a.Status, len(a.Body))
+			f.Expect(f.post("key-1", "a donation").Outcome).To(Equal("unknown"))
+			f.Expect(f.callCount()).To(Equal(1))
+		})
+	}
+}
