load: an error answer that ends early states nothing

The load tool counted an error answer whose body was cut off as one, with what its head said of the submission: a check for answers that only look complete could not find them among failures. It now counts such an answer as cut and its outcome as unknown. TestErrorAnswerThatEndsEarlyIsNone failed before ("not run" from a cut 503) and passes. Successes were compared with their whole content already.

--- a/transport/load/send.go
+++ b/transport/load/send.go
@@ -134,7 +134,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
-		return classifyErrorResponse(resp, true)
+		return s.readErrorResponse(resp, true)
 	}
 	from, err := bodyOffset(resp, *offset)
 	if err != nil {
@@ -192,7 +192,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
-		return classifyErrorResponse(resp, c.key != "")
+		return s.readErrorResponse(resp, c.key != "")
 	}
 	receipt, err := io.ReadAll(io.LimitReader(resp.Body, maxReceipt))
 	if err != nil {
@@ -231,9 +231,18 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// classifyErrorResponse derives the attempt from an error response. mayRetry allows a retry of a request that may have run.
+// readErrorResponse reads an error response to its end and derives the attempt from it. One that ends early states nothing. mayRetry
+// allows a retry of a request that may have run.
+func (s *sender) readErrorResponse(resp *http.Response, mayRetry bool) attempt {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReceipt)); err != nil {
+		s.stats.Cut.Add(1)
+		return attempt{result: resultUnknown, retry: mayRetry}
+	}
+	return classifyErrorResponse(resp, mayRetry)
+}
+
+// classifyErrorResponse derives the attempt from the head of an error response. mayRetry allows a retry of a request that may have run.
 func classifyErrorResponse(resp *http.Response, mayRetry bool) attempt {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReceipt)) // so that the connection can be reused
 	a := attempt{result: resultUnknown, retry: mayRetry}
 	outcome := callers.Outcome(resp.Header.Get(callers.HeaderOutcome))
 	if outcome == callers.OutcomeNotRun || (outcome == "" && resp.Header.Get(callers.HeaderNotRun) != "") {
