azb-soak: a failure of a server is checked to its end

The soak took any 500 with a server's signature for the server's answer, so that it could not find one that had been cut off and looked complete. It now compares the body as well. The row "cut failure of a server" of TestChecksReportViolations failed before and passes; a cut success was reported already, which a new row keeps.

The plan of the soak is left as it is: its requests are short, so that no server can reset a connection during an upload; that would need long bodies, which the stand-ins record whole.

--- a/cmd/azb-soak/check.go
+++ b/cmd/azb-soak/check.go
@@ -103,8 +103,12 @@
 		return ""
 	}
 	if c.Status != http.StatusOK {
-		if c.Signature != "" && c.Status != http.StatusInternalServerError {
+		switch {
+		case c.Signature == "":
+		case c.Status != http.StatusInternalServerError:
 			return fmt.Sprintf("status %d with signature %s: servers never send this status", c.Status, c.Signature)
+		case c.Body != standin.FailureBody:
+			return fmt.Sprintf("failure with body %q and signature %q", c.Body, c.Signature)
 		}
 		return ""
 	}
