--- a/transport/backendconn/reset_test.go
+++ b/transport/backendconn/reset_test.go
@@ -107,19 +107,23 @@
 // Guards against the same as TestResetThatAWriteHasMetIsNoEndOfAnAnswer on real sockets, also for an answer that is streamed.
 func TestAnswersThatEndWithAReset(t *testing.T) {
 	const long = MaxBuffered + MaxBuffered/2
+	requests := map[string]func(address string) *Request{"no body": func(address string) *Request { return newLongRequest(address, nil, nil, 0) }}
+	for name, upload := range uploads {
+		requests[name] = upload
+	}
 	answers := map[string]string{"streamed answer": "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", long)}
 	for name, answer := range unframedAnswers {
 		answers[name] = answer
 	}
 	for answerName, answer := range answers {
-		for uploadName, upload := range uploads {
+		for requestName, request := range requests {
 			for _, wait := range []time.Duration{0, 2 * time.Millisecond, 50 * time.Millisecond} {
-				t.Run(fmt.Sprintf("%s, %s, %s", answerName, uploadName, wait), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %s, %s", answerName, requestName, wait), func(t *testing.T) {
 					t.Parallel()
 					s := startServer(t, &resettest.Server{Answer: answer, Wait: wait, End: resettest.Reset})
 					whole := 0
 					for range resetTries {
-						if _, _, err := readWhole(backend.DialServer, upload(s.Address())); err == nil {
+						if _, _, err := readWhole(backend.DialServer, request(s.Address())); err == nil {
 							whole++
 						}
 					}
