azb-entry: an answer that switches the protocol is no answer

A caller of azb-entry got status 101 from a server in trouble, found while looking at informational answers: net/http hands over a 101 as the final answer, and azb-entry passed it on, although it forwards no Upgrade field and so no request asks for another protocol. It is a failure now; the request may have run. azb-front skips informational answers, 101 included. The row for 101 of TestStatusThatHTTPDoesNotDefineIsNoAnswer failed before and passes.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -147,6 +147,10 @@
 	if timer != nil {
 		timer.Stop()
 	}
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		err = errUnaskedProtocol
+	}
 	if err != nil {
 		used := conn.Load()
 		if used != nil && used.headError() != nil {
@@ -190,6 +194,9 @@
 	_ = c.SetReadBuffer(size) // if this fails, the larger buffer only makes the use of the link less even
 }
 
+// errUnaskedProtocol means that a server wants to go on in another protocol, which no request asks for.
+var errUnaskedProtocol = errors.New("the answer switches the protocol")
+
 // ErrFirstByte means that no response header arrived within Call.FirstByte.
 var ErrFirstByte = errors.New("no response header in time")
 
--- a/transport/backend/client_test.go
+++ b/transport/backend/client_test.go
@@ -38,9 +38,10 @@
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-// Guards against bytes of a server in trouble that are recorded as the answer to a submission, or that end the caller's connection.
+// Guards against bytes of a server in trouble that are recorded as the answer to a submission, or that end the caller's connection. No
+// request asks for the other protocol that 101 announces.
 func TestStatusThatHTTPDoesNotDefineIsNoAnswer(t *testing.T) {
-	for status, ok := range map[string]bool{"000": false, "099": false, "600": false, "200": true, "599": true} {
+	for status, ok := range map[string]bool{"000": false, "099": false, "101": false, "600": false, "200": true, "599": true} {
 		t.Run(status, func(t *testing.T) {
 			g := NewWithT(t)
 			body, proof, err := answerOf(t, fmt.Sprintf("HTTP/1.1 %s OK\r\nContent-Length: 4\r\n\r\ndone", status))
