--- a/internal/resettest/resettest.go
+++ b/internal/resettest/resettest.go
@@ -13,6 +13,31 @@
 	"golang.org/x/sys/unix"
 )
 
+// UploadSize is more than the buffers of a connection hold, in bytes, so that an upload is in progress when its answer ends.
+const UploadSize = 8 << 20
+
+// Tries is the number of tries of a test on real sockets, where the system chooses whether a read or a write meets a reset.
+const Tries = 20
+
+// Upload is a body of UploadSize bytes.
+var Upload = make([]byte, UploadSize)
+
+// body is the body of most of UnframedAnswers.
+const body = "a part of the body"
+
+// UnframedAnswer is an answer that ends with its connection.
+type UnframedAnswer struct{ Head, Body string }
+
+// UnframedAnswers are answers that end with their connection.
+var UnframedAnswers = map[string]UnframedAnswer{
+	"200":               {"HTTP/1.1 200 OK\r\n\r\n", body},
+	"connection: close": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", body},
+	"HTTP 1.0":          {"HTTP/1.0 200 OK\r\n\r\n", body},
+	"empty body":        {"HTTP/1.1 200 OK\r\n\r\n", ""},
+	"500":               {"HTTP/1.1 500 Internal Server Error\r\n\r\n", body},
+	"after a 100":       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", body},
+}
+
 // holdTime is how long Conn holds a failed write back, unless the connection is closed before. A reader that does not wait for the
 // write decides within it.
 const holdTime = 200 * time.Millisecond
@@ -30,7 +55,7 @@
 
 // Server answers each request once it has read its head, and ends the connection.
 type Server struct {
-	Answer string        // head and body
+	Answer UnframedAnswer
 	Wait   time.Duration // between the answer and the end of the connection
 	End    End
 	ln     net.Listener
@@ -71,7 +96,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
-	if _, err := io.WriteString(c, s.Answer); err != nil {
+	if _, err := io.WriteString(c, s.Answer.Head+s.Answer.Body); err != nil {
 		return
 	}
 	time.Sleep(s.Wait)
