--- a/internal/resettest/resettest.go
+++ b/internal/resettest/resettest.go
@@ -47,10 +47,10 @@
 
 // Values of End.
 const (
-	Reset          End = iota // resets the connection
-	InOrder                   // ends its sending side and reads on
-	InOrderUnread             // ends its sending side and reads nothing more
-	ResetAfterward            // ends its sending side, and resets the connection once the client has got that
+	Reset         End = iota // resets the connection
+	InOrder                  // ends its sending side and reads on
+	InOrderUnread            // ends its sending side and reads nothing more
+	ResetAfterEnd            // ends its sending side, and resets the connection once the client has got that
 )
 
 // Server answers each request once it has read its head, and ends the connection.
@@ -108,10 +108,10 @@
 		_, _ = io.Copy(io.Discard, c) // until the client closes
 	case InOrderUnread:
 		<-s.ended
-	case ResetAfterward:
+	case ResetAfterEnd:
 		awaitAcknowledged(c)
 	}
-	if s.End == Reset || s.End == ResetAfterward {
+	if s.End == Reset || s.End == ResetAfterEnd {
 		_ = c.SetLinger(0) // as above
 	}
 }
--- a/transport/backendconn/reset_test.go
+++ b/transport/backendconn/reset_test.go
@@ -78,7 +78,7 @@
 		t.Run(uploadName, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			s := startServer(t, &resettest.Server{Answer: resettest.UnframedAnswers["200"], End: resettest.ResetAfterward})
+			s := startServer(t, &resettest.Server{Answer: resettest.UnframedAnswers["200"], End: resettest.ResetAfterEnd})
 			status, body, err := readWhole(resettest.Dial, upload(s.Address()))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(status).To(Equal(http.StatusOK))
