--- a/transport/callerconn/aborted_test.go
+++ b/transport/callerconn/aborted_test.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -41,3 +42,20 @@
 		s.Expect(body).To(HaveLen(1 << 20))
 	}
 }
+
+// Guards against an answer without a length behind which the next one is sent, so that the caller takes both for one. Listed in
+// KNOWN-RED.txt.
+func TestAnswersWithoutALengthAreNotJoined(t *testing.T) {
+	s := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "answer to "+r.URL.Path)
+	}))
+	const request = "GET %s HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n"
+	for range 20 {
+		c := s.caller(t, fmt.Sprintf(request, "/a"), fmt.Sprintf(request, "/b"))
+		resp, err := http.ReadResponse(c.reader, nil)
+		s.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(string(body)).To(Equal("answer to /a"))
+	}
+}
