backend, answerhead: one loop over heads, one reader of TCP_INFO, one kind of connection

Behaviour stays as it is. answerhead.Check uses the Checker, which copies only a line that arrives in parts, where two loops did the same. ackConn and the detection of resets share tcpInfo. DetectResets returns its type, so that backendconn and headConn embed it: type assertions that always held and a second SetReadBuffer are gone. expectHead no longer resets a Checker that is new anyway.

--- a/protocol/answerhead/answerhead.go
+++ b/protocol/answerhead/answerhead.go
@@ -26,18 +26,14 @@
 // within another line means that the beginning of another answer stands before it. The head of an HTTP/1.0 answer has no transfer
 // encoding.
 func Check(head []byte) error {
-	var s lines
-	for !s.ended {
-		line, rest, ok := bytes.Cut(head, lineEnd)
-		if !ok {
-			return s.malformed()
-		}
-		if err := s.check(line); err != nil {
-			return err
-		}
-		head = rest
-	}
-	if len(head) > 0 {
+	var c Checker
+	used, err := c.Add(head)
+	switch {
+	case err != nil:
+		return err
+	case !c.Ended():
+		return c.lines.malformed()
+	case used < len(head):
 		return ErrHeader
 	}
 	return nil
@@ -59,8 +55,12 @@
 			c.part = append(c.part, b[used:]...)
 			return len(b), nil
 		}
-		c.part = append(c.part, b[used:used+end+1]...)
-		line, ok := bytes.CutSuffix(c.part, lineEnd)
+		line := b[used : used+end+1]
+		if len(c.part) > 0 {
+			c.part = append(c.part, line...)
+			line = c.part
+		}
+		line, ok := bytes.CutSuffix(line, lineEnd)
 		if !ok {
 			return used + end, c.lines.malformed()
 		}
--- a/transport/backend/headconn.go
+++ b/transport/backend/headconn.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"net"
 	"sync"
 
 	"azurebridge/protocol/answerhead"
@@ -10,7 +9,7 @@
 // headConn is a connection that fails when the head of an answer is not well formed by itself. net/http accepts blanks in names, folded
 // lines and lines that end without CR, and reads some fields of such heads in another way than others do.
 type headConn struct {
-	net.Conn
+	*Conn
 	mu     sync.Mutex
 	head   answerhead.Checker // of the answer that is being read, or of the next one
 	inHead bool
@@ -18,15 +17,13 @@
 }
 
 // checkHeads returns a connection like c that checks the heads of answers. expectHead is called before each request on it.
-func checkHeads(c net.Conn) *headConn { return &headConn{Conn: c, inHead: true} }
+func checkHeads(c *Conn) *headConn { return &headConn{Conn: c, inHead: true} }
 
 // expectHead announces a request, whose answer begins with the next bytes. The answer to the one before has been read.
 func (c *headConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inHead {
-		c.inHead, c.head = true, answerhead.Checker{}
-	}
+	c.inHead = true
 }
 
 // headError returns the error of a malformed head, or nil when there was none.
@@ -68,6 +65,3 @@
 	}
 	return len(b)
 }
-
-// SetReadBuffer sets the size of the system's receive buffer in bytes. It fails with ErrNoDescriptor when there is none.
-func (c *headConn) SetReadBuffer(bytes int) error { return setReadBuffer(c.Conn, bytes) }
--- a/transport/backend/resetconn.go
+++ b/transport/backend/resetconn.go
@@ -15,24 +15,24 @@
 // ErrNoDescriptor means that a connection is not one of the system's.
 var ErrNoDescriptor = errors.New("the connection has no descriptor")
 
-// resetConn is a connection whose Read returns io.EOF only where the other host has ended its stream in order. The system reports a
+// Conn is a connection whose Read returns io.EOF only where the other host has ended its stream in order. The system reports a
 // reset once, to whichever call comes first: where that is a write, the next read returns the end of the stream.
-type resetConn struct {
+type Conn struct {
 	net.Conn
 	writing sync.Mutex            // held while a write is in progress
 	failure atomic.Pointer[error] // of an earlier call; the stream may have been cut by then
 }
 
 // DetectResets returns a connection like c that tells a reset from the end of the stream, also while another goroutine writes to it.
-func DetectResets(c net.Conn) net.Conn {
-	if _, ok := c.(*resetConn); ok {
-		return c
+func DetectResets(c net.Conn) *Conn {
+	if out, ok := c.(*Conn); ok {
+		return out
 	}
-	return &resetConn{Conn: c}
+	return &Conn{Conn: c}
 }
 
 // Write writes to the connection.
-func (c *resetConn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
@@ -41,7 +41,7 @@
 }
 
 // Read reads from the connection. Instead of io.EOF it returns the error of an earlier call that may have been told of a reset.
-func (c *resetConn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err != io.EOF {
 		c.record(err)
@@ -62,7 +62,7 @@
 
 // record records the first error after which the end of the stream proves nothing. EPIPE is none: it means that the stream had ended in
 // order, or that an earlier call has been told of the reset. Neither is a deadline.
-func (c *resetConn) record(err error) {
+func (c *Conn) record(err error) {
 	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
@@ -71,21 +71,17 @@
 
 // connected reports whether the system still has the connection: it has neither been reset nor timed out. It is false when that is not
 // known.
-func (c *resetConn) connected() bool {
+func (c *Conn) connected() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
-	connected := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		connected = err == nil && info.State != unix.BPF_TCP_CLOSE
-	})
-	return err == nil && connected
+	info, err := tcpInfo(raw)
+	return err == nil && info.State != unix.BPF_TCP_CLOSE
 }
 
 // SyscallConn returns access to the connection's descriptor. It fails with ErrNoDescriptor when there is none.
-func (c *resetConn) SyscallConn() (syscall.RawConn, error) {
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, ErrNoDescriptor
@@ -94,13 +90,10 @@
 }
 
 // SetReadBuffer sets the size of the system's receive buffer in bytes. It fails with ErrNoDescriptor when there is none.
-func (c *resetConn) SetReadBuffer(bytes int) error { return setReadBuffer(c.Conn, bytes) }
-
-// setReadBuffer sets the size of the receive buffer of a connection that allows it.
-func setReadBuffer(c net.Conn, bytes int) error {
-	tcp, ok := c.(interface{ SetReadBuffer(bytes int) error })
+func (c *Conn) SetReadBuffer(bytes int) error {
+	inner, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
 	if !ok {
 		return ErrNoDescriptor
 	}
-	return tcp.SetReadBuffer(bytes)
+	return inner.SetReadBuffer(bytes)
 }
--- a/transport/backend/unacked.go
+++ b/transport/backend/unacked.go
@@ -93,7 +93,7 @@
 
 // check closes the connection when an acknowledgement has been due for UnackedTimeout.
 func (c *ackConn) check() {
-	info, err := c.info()
+	info, err := tcpInfo(c.raw)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,8 +118,9 @@
 	c.timer.Reset(ackCheckInterval)
 }
 
-func (c *ackConn) info() (info *unix.TCPInfo, err error) {
-	controlErr := c.raw.Control(func(fd uintptr) {
+// tcpInfo returns what the system knows of a connection. It fails when the connection is closed.
+func tcpInfo(raw syscall.RawConn) (info *unix.TCPInfo, err error) {
+	controlErr := raw.Control(func(fd uintptr) {
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if controlErr != nil {
--- a/transport/backendconn/answerbody.go
+++ b/transport/backendconn/answerbody.go
@@ -22,10 +22,9 @@
 	if announced >= 0 && announced <= backend.ServerReceiveBuffer || !x.request.Memory.ReserveFree(longReceiveBuffer) {
 		return 0
 	}
-	tcp, ok := x.conn.Conn.(interface{ SetReadBuffer(bytes int) error })
-	if ok && !x.conn.grown {
+	if !x.conn.grown {
 		x.conn.grown = true
-		_ = tcp.SetReadBuffer(longReceiveBuffer) // fails only for a closed connection
+		_ = x.conn.SetReadBuffer(longReceiveBuffer) // fails only for a closed connection, or one that has no buffer
 	}
 	return longReceiveBuffer
 }
--- a/transport/backendconn/conn.go
+++ b/transport/backendconn/conn.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,7 +38,7 @@
 
 // conn is one connection to a backend server. One goroutine at a time uses it.
 type conn struct {
-	net.Conn
+	*backend.Conn
 	reader      *bufio.Reader  // reads from limited
 	limited     *limitedReader // reads from the connection
 	idleTimeout time.Duration  // after which the server closes an idle connection
@@ -49,7 +48,8 @@
 	carried     []string       // IDs of the last maxCarried requests that it has carried
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(dialed net.Conn) *conn {
+	c := backend.DetectResets(dialed)
 	limited := &limitedReader{Reader: c, remaining: math.MaxInt64}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, idleTimeout: defaultIdleTimeout}
 }
@@ -131,11 +131,7 @@
 
 // readable reports whether a read would return at once, with bytes, the end of the stream or an error. It does not block.
 func (c *conn) readable() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := raw.SyscallConn()
+	raw, err := c.SyscallConn()
 	if errors.Is(err, backend.ErrNoDescriptor) {
 		return false
 	}
@@ -143,7 +139,7 @@
 		return true
 	}
 	pending := true
-	err = rc.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		pending = err != unix.EAGAIN && err != unix.EWOULDBLOCK
--- a/transport/backendconn/pool.go
+++ b/transport/backendconn/pool.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"azurebridge/state"
-	"azurebridge/transport/backend"
 )
 
 // Max numbers of idle connections in the pool.
@@ -91,7 +90,7 @@
 		return nil, err
 	}
 	p.Stats.Opened.Add(1)
-	return newConn(backend.DetectResets(c)), nil
+	return newConn(c), nil
 }
 
 // takeIdle removes the newest idle connection to the server from the pool and returns it, or nil when there is none.
